--- a/crates/bench/src/example.rs
+++ b/crates/bench/src/example.rs
@@ -9,8 +9,8 @@
     wire::{
         convert,
         generated::{
-            ConfigKind, ConfigRecord, DetectionText, DocumentText, ListedInstance, ListedServer,
-            MemberList, PresenceText, RouteText, ServiceText,
+            ConfigKind, ConfigRecord, DetectionText, DocumentText, KindText, ListedInstance,
+            ListedServer, MemberList, PresenceText, RouteText, ServiceText,
         },
         to_text,
     },
@@ -68,6 +68,9 @@
             data_centre: DATA_CENTRE.to_owned(),
             rpc_address: settings.rpc_address.to_string(),
             presence: PresenceText::Live,
+            region: None,
+            capacity_permille: None,
+            incarnation: None,
         }],
         servers,
     });
@@ -89,20 +92,14 @@
         name: name.to_owned(),
         token: format!("{name}-token"),
     };
+    let caller_address = free_address()?;
     Ok(Settings {
-        instance: "entry-1".to_owned(),
-        data_centre: DATA_CENTRE.to_owned(),
-        caller_address: free_address()?,
         rpc_address: free_address()?,
         admin_address: free_address()?,
-        platform_address,
         principals: vec![principal("operations"), principal("finance")],
-        uses_permits: true,
-        worker_threads: 2,
-        claim_window_ms: 600_000,
-        snapshot_interval_ms: 600_000,
         drain_ms: 100,
         log_level: log_level(),
+        ..Settings::new("entry-1", DATA_CENTRE, caller_address, platform_address)
     })
 }
 
@@ -118,6 +115,10 @@
         address: address.to_string(),
         slots: BackendKnobs::default().slots,
         presence: PresenceText::Live,
+        region: None,
+        born_ms: None,
+        sequence: None,
+        cold_ms: None,
     }
 }
 
@@ -131,18 +132,25 @@
         max_body_bytes: 200 << 20,
         hold_bytes: 256 << 10,
     };
-    let route = |prefix: &str, methods: &[&str], service: &str, idempotent| RouteText {
+    let route = |prefix: &str, methods: &[&str], service: &str, kind| RouteText {
         prefix: prefix.to_owned(),
         methods: methods.iter().map(|&method| method.to_owned()).collect(),
-        service: service.to_owned(),
-        idempotent,
+        service: Some(service.to_owned()),
+        kind,
+        host: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        target_ms: None,
+        priority: None,
+        attempts_max: None,
     };
     DocumentText {
+        limits: None,
         services: vec![service("designs"), service("deposits")],
         routes: vec![
-            route("/designs", &[], "designs", true),
-            route("/deposits", &["GET"], "deposits", true),
-            route("/deposits", &["POST"], "deposits", false),
+            route("/designs", &[], "designs", KindText::Safe),
+            route("/deposits", &["GET"], "deposits", KindText::Safe),
+            route("/deposits", &["POST"], "deposits", KindText::Unsafe),
         ],
     }
 }
--- a/crates/bench/src/experiments/owner_loss.rs
+++ b/crates/bench/src/experiments/owner_loss.rs
@@ -62,11 +62,9 @@
 
 /// The owner is the first live instance in rendezvous order.
 fn find_owner(world: &World) -> usize {
-    let instances = world.instances.iter().map(|instance| member::Instance {
-        name: instance.process.plan.name.clone(),
-        data_centre: instance.process.plan.data_centre.clone(),
-        rpc_address: instance.process.rpc_address,
-        presence: member::Presence::Live,
+    let instances = world.instances.iter().map(|instance| {
+        let plan = &instance.process.plan;
+        member::Instance::new(&plan.name, &plan.data_centre, instance.process.rpc_address)
     });
     let view = member::View::new(1, instances.collect(), Vec::new());
     let service = &world.shape.services[0].name;
--- a/crates/bench/src/shape.rs
+++ b/crates/bench/src/shape.rs
@@ -2,7 +2,7 @@
 
 use {
     standin::BackendKnobs,
-    wire::generated::{DetectionText, DocumentText, RouteText, ServiceText},
+    wire::generated::{DetectionText, DocumentText, KindText, RouteText, ServiceText},
 };
 
 /// One service of the system under test.
@@ -108,15 +108,25 @@
     /// The configuration document of the system.
     pub(crate) fn document(&self) -> DocumentText {
         let routes = self.services.iter().flat_map(|service| {
-            let route = |methods: &[&str], idempotent| RouteText {
+            let route = |methods: &[&str], kind| RouteText {
                 prefix: format!("/{}", service.name),
                 methods: methods.iter().map(|&method| method.to_owned()).collect(),
-                service: service.name.clone(),
-                idempotent,
+                service: Some(service.name.clone()),
+                kind,
+                host: None,
+                split: Vec::new(),
+                timeout_ms: None,
+                target_ms: None,
+                priority: None,
+                attempts_max: None,
             };
-            [route(&["GET", "PUT"], true), route(&["POST"], false)]
+            [
+                route(&["GET", "PUT"], KindText::Safe),
+                route(&["POST"], KindText::Unsafe),
+            ]
         });
         DocumentText {
+            limits: None,
             services: self.services.iter().map(service_text).collect(),
             routes: routes.collect(),
         }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -216,6 +216,9 @@
             data_centre: instance.process.plan.data_centre.clone(),
             rpc_address: instance.rpc_address().to_string(),
             presence: instance.presence,
+            region: None,
+            capacity_permille: None,
+            incarnation: None,
         });
         let servers = self.servers.iter().map(|server| ListedServer {
             name: server.name.clone(),
@@ -224,6 +227,10 @@
             address: server.address().to_string(),
             slots: server.slots,
             presence: server.presence,
+            region: None,
+            born_ms: None,
+            sequence: None,
+            cold_ms: None,
         });
         self.platform.list(MemberList {
             version: 0,
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -14,7 +14,7 @@
 const DOCUMENT: &str = r#"{
     "services": [{"name": "s", "detection": "careful", "floor_slots": 8, "deadline_ms": 1000,
         "retry_percent": 10, "max_body_bytes": 1000, "hold_bytes": 1000}],
-    "routes": [{"prefix": "/", "methods": ["POST"], "service": "s", "idempotent": false}]
+    "routes": [{"prefix": "/", "methods": ["POST"], "service": "s", "kind": "unsafe"}]
 }"#;
 
 struct Run {
@@ -52,19 +52,12 @@
         token: format!("{name}-token"),
     };
     Settings {
-        instance: "i".into(),
-        data_centre: "a".into(),
-        caller_address: any,
-        rpc_address: any,
-        admin_address: any,
-        platform_address,
         principals: vec![principal("operations"), principal("finance")],
-        uses_permits: true,
-        worker_threads: 2,
         claim_window_ms: 1_000,
         snapshot_interval_ms: 1_000,
         drain_ms: 0,
         log_level: log::LevelFilter::Off,
+        ..Settings::new("i", "a", any, platform_address)
     }
 }
 
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -30,17 +30,90 @@
     pub hold_bytes: u64,
 }
 
-/// Sends the requests below a path prefix to a service.
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// A request may run more than once without harm.
+    Safe,
+    /// A request runs at most once.
+    Unsafe,
+    /// A request runs at most once, and its body may be long.
+    Upload,
+}
+
+impl Kind {
+    /// Tells whether a request may run more than once without harm.
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Safe
+    }
+}
+
+/// A service's part of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Name of the service.
+    pub service: String,
+    /// Its part, in proportion to the other weights of the route.
+    pub weight: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: u64,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// Time allowed for a request's head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time for which an idle connection is kept, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// Sends the requests below a path prefix to a service, or to several by weight.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Route {
+    /// Host in lower case, without a port; empty takes all.
+    pub host: String,
     /// Path prefix, matched at segment borders; the longest match wins.
     pub prefix: String,
     /// HTTP methods that the route takes; empty takes all.
     pub methods: Vec<String>,
-    /// Name of the service.
-    pub service: String,
-    /// Whether a request may run more than once without harm.
-    pub idempotent: bool,
+    /// The services and their parts; one for a route that is not split.
+    pub parts: Vec<Part>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a request is kept waiting, in milliseconds; none leaves it to the service's deadline.
+    pub timeout_ms: Option<u64>,
+    /// Time within which an answer has its full worth, in milliseconds.
+    pub target_ms: Option<u64>,
+    /// Rank when slots are short; 0 is the most urgent.
+    pub priority: u32,
+    /// Most backend servers that one request is given to.
+    pub attempts_max: u32,
+}
+
+impl Route {
+    /// Most backend servers that one request is given to where a document does not say.
+    pub const ATTEMPTS_MAX: u32 = 4;
+
+    /// Creates a route of all hosts and methods to one service, with neither timeout nor target.
+    pub fn new(prefix: &str, service: &str, kind: Kind) -> Self {
+        Self {
+            host: String::new(),
+            prefix: prefix.to_owned(),
+            methods: Vec::new(),
+            parts: vec![Part {
+                service: service.to_owned(),
+                weight: 1,
+            }],
+            kind,
+            timeout_ms: None,
+            target_ms: None,
+            priority: 0,
+            attempts_max: Self::ATTEMPTS_MAX,
+        }
+    }
 }
 
 /// The whole configuration, proposed, approved and put in force as one.
@@ -50,6 +123,8 @@
     pub services: Vec<Service>,
     /// The routes, in the operator's order.
     pub routes: Vec<Route>,
+    /// What callers may send; none leaves it to the services and to built-in limits.
+    pub limits: Option<Limits>,
 }
 
 /// One error of a document.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,7 +9,7 @@
 mod state;
 
 pub use crate::{
-    document::{Detection, Document, Finding, Route, Service},
+    document::{Detection, Document, Finding, Kind, Limits, Part, Route, Service},
     lookup::Lookup,
     state::{Accepted, Decision, Entry, HistoryRow, Proposal, State, Verdict},
 };
--- a/crates/config/src/lookup.rs
+++ b/crates/config/src/lookup.rs
@@ -5,10 +5,10 @@
 
 use {crate::Document, std::collections::HashMap};
 
-/// Positions of routes by prefix and of services by name.
+/// Positions of routes by host and prefix, and of services by name.
 #[derive(Clone, Debug, Default)]
 pub struct Lookup {
-    pub(crate) routes: HashMap<String, Vec<usize>>,
+    pub(crate) hosts: HashMap<String, HashMap<String, Vec<usize>>>,
     pub(crate) services: HashMap<String, usize>,
 }
 
@@ -17,8 +17,8 @@
     pub fn new(document: &Document) -> Self {
         let mut lookup = Self::default();
         for (position, route) in document.routes.iter().enumerate() {
-            lookup
-                .routes
+            let prefixes = lookup.hosts.entry(route.host.clone()).or_default();
+            prefixes
                 .entry(route.prefix.clone())
                 .or_default()
                 .push(position);
--- a/crates/config/src/queries.rs
+++ b/crates/config/src/queries.rs
@@ -10,6 +10,6 @@
     digest::{canonical, digest},
     explain::explain,
     read::{accepted, has_gap, history, may_approve, next_offset, proposal, proposals, version},
-    route::{find_route, find_service},
+    route::{find_route, find_service, pick_part},
     verify::verify,
 };
--- a/crates/config/src/queries/digest.rs
+++ b/crates/config/src/queries/digest.rs
@@ -17,6 +17,17 @@
     for route in &document.routes {
         text.push_str(&route_line(route));
     }
+    if let Some(limits) = &document.limits {
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "limits header_bytes={} body_bytes={} header_timeout_ms={} idle_timeout_ms={}",
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms
+        );
+    }
     text
 }
 
@@ -48,8 +59,21 @@
         // Writing to a string can't fail.
         let _ = write!(methods, " {method:?}");
     }
+    let mut parts = String::new();
+    for part in &route.parts {
+        // As above.
+        let _ = write!(parts, " {:?}={}", part.service, part.weight);
+    }
     format!(
-        "route {:?} {:?} idempotent={} methods={}\n",
-        route.prefix, route.service, route.idempotent, methods
+        "route {:?} {:?} {:?} parts={} methods={} timeout_ms={:?} target_ms={:?} priority={} attempts_max={}\n",
+        route.host,
+        route.prefix,
+        route.kind,
+        parts,
+        methods,
+        route.timeout_ms,
+        route.target_ms,
+        route.priority,
+        route.attempts_max
     )
 }
--- a/crates/config/src/queries/explain.rs
+++ b/crates/config/src/queries/explain.rs
@@ -3,7 +3,7 @@
 //! Written for the person who approves: capacity that may be taken out of service and requests that may be
 //! repeated come first in each comparison.
 
-use crate::{Detection, Document, Route, Service};
+use crate::{Detection, Document, Kind, Route, Service};
 
 /// Returns one sentence per change from `before` to `after`.
 pub fn explain(before: &Document, after: &Document) -> Vec<String> {
@@ -104,50 +104,110 @@
 
 fn explain_routes(before: &Document, after: &Document, sentences: &mut Vec<String>) {
     for route in &after.routes {
-        let same = |old: &Route| old.prefix == route.prefix && old.methods == route.methods;
-        match find(&before.routes, same) {
+        match find(&before.routes, |old| is_same(old, route)) {
             None => sentences.push(format!(
-                "Requests to {} go to service {}; {}.",
-                route.prefix,
-                route.service,
-                repeat_words(route.idempotent)
+                "Requests to {} go to {}; they {}.",
+                place(route),
+                services(route),
+                repeat_words(route.kind)
             )),
             Some(old) => explain_route(old, route, sentences),
         }
     }
     for old in &before.routes {
-        let same = |route: &Route| old.prefix == route.prefix && old.methods == route.methods;
-        if find(&after.routes, same).is_none() {
-            sentences.push(format!("Requests to {} lose their route.", old.prefix));
+        if find(&after.routes, |route| is_same(old, route)).is_none() {
+            sentences.push(format!("Requests to {} lose their route.", place(old)));
+        }
+    }
+    if before.limits != after.limits {
+        sentences.push(match &after.limits {
+            Some(limits) => format!(
+                "Callers may send heads of {} and bodies of {} bytes, take {} ms for a head and stay idle for {} ms.",
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_ms,
+                limits.idle_timeout_ms
+            ),
+            None => "What callers may send is left to the services.".to_owned(),
+        });
+    }
+}
+
+fn is_same(left: &Route, right: &Route) -> bool {
+    left.host == right.host && left.prefix == right.prefix && left.methods == right.methods
+}
+
+fn place(route: &Route) -> String {
+    format!("{}{}", route.host, route.prefix)
+}
+
+fn services(route: &Route) -> String {
+    match route.parts.as_slice() {
+        [only] => format!("service {}", only.service),
+        parts => {
+            let words: Vec<String> = parts
+                .iter()
+                .map(|part| format!("{} ({})", part.service, part.weight))
+                .collect();
+            format!("services by weight: {}", words.join(", "))
         }
     }
 }
 
 fn explain_route(old: &Route, new: &Route, sentences: &mut Vec<String>) {
-    if new.idempotent != old.idempotent {
-        let cost = if new.idempotent {
+    let place = place(new);
+    if new.kind != old.kind {
+        let repeatable = new.kind.is_idempotent() && !old.kind.is_idempotent();
+        let cost = if repeatable {
             "COST: requests"
         } else {
             "Requests"
         };
-        sentences.push(format!(
-            "{cost} to {} {}.",
-            new.prefix,
-            repeat_words(new.idempotent)
-        ));
+        sentences.push(format!("{cost} to {place} {}.", repeat_words(new.kind)));
     }
-    if new.service != old.service {
+    if new.parts != old.parts {
         sentences.push(format!(
-            "Requests to {} move from service {} to service {}.",
-            new.prefix, old.service, new.service
+            "Requests to {place} move from {} to {}.",
+            services(old),
+            services(new)
         ));
     }
+    let rows = [
+        ("timeout", old.timeout_ms, new.timeout_ms, " ms"),
+        ("target", old.target_ms, new.target_ms, " ms"),
+        (
+            "priority",
+            Some(u64::from(old.priority)),
+            Some(u64::from(new.priority)),
+            "",
+        ),
+        (
+            "most attempts",
+            Some(u64::from(old.attempts_max)),
+            Some(u64::from(new.attempts_max)),
+            "",
+        ),
+    ];
+    for (what, was, is, unit) in rows {
+        if was != is {
+            let words = |value: Option<u64>| {
+                value.map_or_else(|| "none".to_owned(), |value| format!("{value}{unit}"))
+            };
+            sentences.push(format!(
+                "Requests to {place}: {what} changes from {} to {}.",
+                words(was),
+                words(is)
+            ));
+        }
+    }
 }
 
-fn repeat_words(idempotent: bool) -> &'static str {
-    if idempotent {
-        "may be repeated after a failure"
-    } else {
-        "are never repeated once a backend server may have run them"
+fn repeat_words(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Safe => "may be repeated after a failure",
+        Kind::Unsafe => "are never repeated once a backend server may have run them",
+        Kind::Upload => {
+            "are never repeated once a backend server may have run them, and may be long"
+        }
     }
 }
--- a/crates/config/src/queries/route.rs
+++ b/crates/config/src/queries/route.rs
@@ -1,16 +1,21 @@
 //! Finds the route and the service of a request.
 
-use crate::{Document, Lookup, Route, Service};
+use crate::{Document, Lookup, Part, Route, Service};
 
-/// Borrows the route with the longest matching prefix that takes the method.
+/// Borrows the route with the longest matching prefix that takes the method, among the routes of the host and
+/// those of all hosts; of two as long, that of the host.
 pub fn find_route<'a>(
     document: &'a Document,
     lookup: &Lookup,
+    host: &str,
     method: &str,
     path: &str,
 ) -> Option<&'a Route> {
+    let named = lookup.hosts.get(host);
+    let general = lookup.hosts.get("").filter(|_| !host.is_empty());
     prefixes(path)
-        .filter_map(|prefix| lookup.routes.get(prefix))
+        .flat_map(|prefix| [named, general].map(|routes| routes.and_then(|map| map.get(prefix))))
+        .flatten()
         .find_map(|positions| {
             let mut routes = positions.iter().filter_map(|&at| document.routes.get(at));
             routes.find(|route| takes_method(route, method))
@@ -26,6 +31,18 @@
     document.services.get(*lookup.services.get(name)?)
 }
 
+/// Borrows the part of the route that a request belongs to, by a number drawn or hashed for the request.
+pub fn pick_part(route: &Route, number: u64) -> Option<&Part> {
+    let total: u64 = route.parts.iter().map(|part| u64::from(part.weight)).sum();
+    let mut left = number % total.max(1);
+    route.parts.iter().find(|part| {
+        let weight = u64::from(part.weight);
+        let found = left < weight;
+        left = left.saturating_sub(weight);
+        found
+    })
+}
+
 fn takes_method(route: &Route, method: &str) -> bool {
     route.methods.is_empty() || route.methods.iter().any(|allowed| allowed == method)
 }
--- a/crates/config/src/queries/verify.rs
+++ b/crates/config/src/queries/verify.rs
@@ -3,7 +3,7 @@
 //! Invariant: every error is reported in one pass; an empty result means that the document may be proposed.
 
 use {
-    crate::{Document, Finding, Route, Service},
+    crate::{Document, Finding, Limits, Route, Service},
     std::collections::HashSet,
 };
 
@@ -17,6 +17,14 @@
 const BODY_MAX_BYTES: u64 = 1 << 34;
 /// Largest answer held until whole, in bytes.
 const HOLD_MAX_BYTES: u64 = 4 << 20;
+/// Least urgent priority.
+const PRIORITY_MAX: u32 = 1_000;
+/// Most attempts of one request that a route may ask for.
+const ATTEMPTS_MAX: u32 = 16;
+/// Bounds of the largest head of a request, in bytes.
+const HEADER_MIN_BYTES: u64 = 1 << 10;
+/// See [`HEADER_MIN_BYTES`].
+const HEADER_MAX_BYTES: u64 = 1 << 20;
 /// Methods a route may name.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
@@ -32,6 +40,9 @@
     }
     verify_services(&document.services, &mut findings);
     verify_routes(document, &mut findings);
+    if let Some(limits) = &document.limits {
+        verify_limits(limits, &mut findings);
+    }
     findings
 }
 
@@ -98,17 +109,30 @@
     for (index, route) in document.routes.iter().enumerate() {
         let place = format!("$.routes[{index}]");
         verify_route(route, &place, &names, findings);
-        if !seen.insert((route.prefix.as_str(), route.methods.as_slice())) {
+        verify_numbers(route, &place, findings);
+        let matched = (
+            route.host.as_str(),
+            route.prefix.as_str(),
+            route.methods.as_slice(),
+        );
+        if !seen.insert(matched) {
             report(
                 findings,
                 &place,
-                "another route has the same prefix and methods",
+                "another route has the same host, prefix and methods",
             );
         }
     }
 }
 
 fn verify_route(route: &Route, place: &str, names: &HashSet<&str>, findings: &mut Vec<Finding>) {
+    if route.host.contains([':', '/']) || route.host.chars().any(char::is_uppercase) {
+        report(
+            findings,
+            &format!("{place}.host"),
+            "a host is in lower case and has no port",
+        );
+    }
     if !route.prefix.starts_with('/') {
         report(
             findings,
@@ -116,10 +140,7 @@
             "a prefix starts with /",
         );
     }
-    if !names.contains(route.service.as_str()) {
-        let sentence = format!("no service is named {:?}", route.service);
-        report(findings, &format!("{place}.service"), &sentence);
-    }
+    verify_parts(route, place, names, findings);
     for (at, method) in route.methods.iter().enumerate() {
         if !METHODS.contains(&method.as_str()) {
             let sentence = format!("{method:?} is not one of {}", METHODS.join(", "));
@@ -127,3 +148,87 @@
         }
     }
 }
+
+fn verify_parts(route: &Route, place: &str, names: &HashSet<&str>, findings: &mut Vec<Finding>) {
+    if route.parts.is_empty() {
+        report(
+            findings,
+            &format!("{place}.service"),
+            "a service or a split is needed",
+        );
+    }
+    for (at, part) in route.parts.iter().enumerate() {
+        let field = if route.parts.len() == 1 {
+            format!("{place}.service")
+        } else {
+            format!("{place}.split[{at}]")
+        };
+        if !names.contains(part.service.as_str()) {
+            let sentence = format!("no service is named {:?}", part.service);
+            report(findings, &field, &sentence);
+        }
+        if part.weight == 0 {
+            report(findings, &field, "a weight is at least 1");
+        }
+    }
+}
+
+fn verify_numbers(route: &Route, place: &str, findings: &mut Vec<Finding>) {
+    let mut check = |holds: bool, field: &str, sentence: &str| {
+        if !holds {
+            report(findings, &format!("{place}.{field}"), sentence);
+        }
+    };
+    check(
+        route
+            .timeout_ms
+            .is_none_or(|ms| (1..=DEADLINE_MAX_MS).contains(&ms)),
+        "timeout_ms",
+        "a timeout lies between 1 and 600000 ms",
+    );
+    check(
+        route
+            .target_ms
+            .is_none_or(|ms| (1..=DEADLINE_MAX_MS).contains(&ms)),
+        "target_ms",
+        "a target lies between 1 and 600000 ms",
+    );
+    check(
+        route.priority <= PRIORITY_MAX,
+        "priority",
+        "a priority is at most 1000",
+    );
+    check(
+        (1..=ATTEMPTS_MAX).contains(&route.attempts_max),
+        "attempts_max",
+        "attempts lie between 1 and 16",
+    );
+}
+
+fn verify_limits(limits: &Limits, findings: &mut Vec<Finding>) {
+    let mut check = |holds: bool, field: &str, sentence: &str| {
+        if !holds {
+            report(findings, &format!("$.limits.{field}"), sentence);
+        }
+    };
+    check(
+        (HEADER_MIN_BYTES..=HEADER_MAX_BYTES).contains(&limits.header_bytes),
+        "header_bytes",
+        "a head has 1024 to 1048576 bytes",
+    );
+    check(
+        limits.body_bytes <= BODY_MAX_BYTES,
+        "body_bytes",
+        "a body has at most 17179869184 bytes",
+    );
+    check(
+        (1..=DEADLINE_MAX_MS).contains(&limits.header_timeout_ms),
+        "header_timeout_ms",
+        "a timeout lies between 1 and 600000 ms",
+    );
+    check(
+        (1..=DEADLINE_MAX_MS).contains(&limits.idle_timeout_ms),
+        "idle_timeout_ms",
+        "a timeout lies between 1 and 600000 ms",
+    );
+}
--- a/crates/config/tests/fold.rs
+++ b/crates/config/tests/fold.rs
@@ -4,22 +4,16 @@
     config::{
         commands::{adopt, fold, skip_to},
         queries::{accepted, digest, has_gap, may_approve, version},
-        Accepted, Decision, Document, Entry, Proposal, Route, State, Verdict,
+        Accepted, Decision, Document, Entry, Kind, Proposal, Route, State, Verdict,
     },
     quickcheck::{quickcheck, Arbitrary, Gen},
     types::ResultCode,
 };
 
 fn document(number: u8) -> Document {
-    let route = Route {
-        prefix: format!("/{number}"),
-        methods: Vec::new(),
-        service: "s".into(),
-        idempotent: true,
-    };
     Document {
-        services: Vec::new(),
-        routes: vec![route],
+        routes: vec![Route::new(&format!("/{number}"), "s", Kind::Safe)],
+        ..Document::default()
     }
 }
 
--- a/crates/config/tests/route.rs
+++ b/crates/config/tests/route.rs
@@ -1,40 +1,89 @@
 //! Tests of route choice.
 
 use {
-    config::{queries::find_route, Document, Lookup, Route},
+    config::{
+        queries::{find_route, pick_part},
+        Document, Kind, Lookup, Part, Route,
+    },
     quickcheck::quickcheck,
 };
 
-fn route(prefix: &str, methods: &[&str], idempotent: bool) -> Route {
+fn route(prefix: &str, methods: &[&str], kind: Kind) -> Route {
     Route {
-        prefix: prefix.into(),
         methods: methods.iter().map(|&method| method.into()).collect(),
-        service: "s".into(),
-        idempotent,
+        ..Route::new(prefix, "s", kind)
+    }
+}
+
+fn document(routes: Vec<Route>) -> Document {
+    Document {
+        routes,
+        ..Document::default()
     }
 }
 
 #[test]
 fn find_route_longest_prefix() {
-    let document = Document {
-        services: Vec::new(),
-        routes: vec![route("/", &[], true), route("/orders", &["POST"], false)],
-    };
+    let document = document(vec![
+        route("/", &[], Kind::Safe),
+        route("/orders", &["POST"], Kind::Unsafe),
+    ]);
     let lookup = Lookup::new(&document);
-    let idempotent =
-        |method, path| find_route(&document, &lookup, method, path).map(|route| route.idempotent);
-    assert_eq!(idempotent("POST", "/orders/1"), Some(false));
-    assert_eq!(idempotent("GET", "/orders/1"), Some(true));
-    assert_eq!(idempotent("POST", "/ordersmore"), Some(true));
+    let kind =
+        |method, path| find_route(&document, &lookup, "", method, path).map(|route| route.kind);
+    assert_eq!(kind("POST", "/orders/1"), Some(Kind::Unsafe));
+    assert_eq!(kind("GET", "/orders/1"), Some(Kind::Safe));
+    assert_eq!(kind("POST", "/ordersmore"), Some(Kind::Safe));
 }
 
 #[test]
 fn find_route_none() {
-    let document = Document {
-        services: Vec::new(),
-        routes: vec![route("/orders", &[], true)],
+    let document = document(vec![route("/orders", &[], Kind::Safe)]);
+    assert!(find_route(&document, &Lookup::new(&document), "", "GET", "/other").is_none());
+}
+
+#[test]
+fn find_route_host() {
+    let hosted = |host: &str, prefix: &str| Route {
+        host: host.into(),
+        ..Route::new(prefix, host, Kind::Safe)
+    };
+    let document = document(vec![
+        hosted("a.example", "/x/"),
+        hosted("b.example", "/x/"),
+        hosted("", "/x/y/"),
+        hosted("", "/x/"),
+    ]);
+    let lookup = Lookup::new(&document);
+    let found = |host, path| {
+        find_route(&document, &lookup, host, "GET", path).map(|route| route.host.as_str())
+    };
+    assert_eq!(found("a.example", "/x/1"), Some("a.example"));
+    assert_eq!(found("b.example", "/x/1"), Some("b.example"));
+    assert_eq!(found("c.example", "/x/1"), Some(""));
+    assert_eq!(found("a.example", "/x/y/1"), Some(""));
+    assert_eq!(found("a.example", "/z"), None);
+}
+
+#[test]
+fn pick_part_by_weight() {
+    let part = |service: &str, weight| Part {
+        service: service.into(),
+        weight,
+    };
+    let split = Route {
+        parts: vec![part("a", 90), part("b", 10)],
+        ..Route::new("/", "", Kind::Safe)
     };
-    assert!(find_route(&document, &Lookup::new(&document), "GET", "/other").is_none());
+    let to_b = (0..1_000)
+        .filter(|&number| pick_part(&split, number).is_some_and(|part| part.service == "b"))
+        .count();
+    assert_eq!(to_b, 100);
+    let none = Route {
+        parts: Vec::new(),
+        ..split
+    };
+    assert!(pick_part(&none, 3).is_none());
 }
 
 /// The definition of a match, walked over all routes.
@@ -59,11 +108,9 @@
         let mut prefixes: Vec<String> = prefixes.iter().map(|prefix| text(prefix)).collect();
         prefixes.sort();
         prefixes.dedup();
-        let document = Document {
-            services: Vec::new(),
-            routes: prefixes.iter().map(|prefix| route(prefix, &[], true)).collect(),
-        };
+        let routes = prefixes.iter().map(|prefix| route(prefix, &[], Kind::Safe)).collect();
+        let document = document(routes);
         let path = text(&path);
-        find_route(&document, &Lookup::new(&document), "GET", &path) == slow(&document, &path)
+        find_route(&document, &Lookup::new(&document), "", "GET", &path) == slow(&document, &path)
     }
 }
--- a/crates/daemon/src/commands.rs
+++ b/crates/daemon/src/commands.rs
@@ -3,6 +3,7 @@
 mod acquire;
 mod adopt;
 mod answer_ask;
+mod assemble;
 mod change_config;
 mod claims;
 mod eject;
@@ -17,6 +18,7 @@
 mod pool_take;
 mod pool_tick;
 mod probe;
+mod reload;
 mod rpc;
 mod snapshot;
 mod start;
--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -10,7 +10,7 @@
     },
     entry::{AcquireAsk, Evidence, Grant, Policy, Refused, Release},
     member::{
-        queries::{find_instance, is_skipped, owner_order, pool_data_centres},
+        queries::{find_instance, is_skipped, owner_order, pool_areas},
         Instance, View,
     },
     std::{
@@ -22,14 +22,17 @@
     wire::generated::{EvidenceText, PermitAnswer, PermitAsk, PermitReturn, PermitVerdict},
 };
 
-/// Time within which an owner answers, its short wait for a slot included, in milliseconds.
-const OWNER_TIMEOUT_MS: u64 = 80;
+/// Time within which an owner answers, its short wait for a slot included, in milliseconds; an owner with a tenth of
+/// a core takes some milliseconds to answer, one that is slowed five times as many.
+const OWNER_TIMEOUT_MS: u64 = 150;
 /// Owners asked in turn before the choice is made locally.
 const OWNERS_MAX: usize = 2;
 /// Pools asked without waiting before the nearest is waited for.
 const POOLS_MAX: usize = 3;
 /// Time allowed for giving a permit back, in milliseconds.
-const RETURN_TIMEOUT_MS: u64 = 1_000;
+const RETURN_TIMEOUT_MS: u64 = 500;
+/// Times that a permit is given back if it is not confirmed; a connection that went silent costs the first.
+const RETURN_TRIES: u32 = 2;
 
 /// Makes the policy that the settings ask for.
 pub(crate) fn policy(node: &Arc<Node>) -> Policy {
@@ -54,11 +57,15 @@
 
 async fn acquire(node: &Arc<Node>, ask: AcquireAsk) -> Result<Grant, Refused> {
     let view = node.view.load_full();
-    let pools = pool_data_centres(&view, &ask.service, &node.settings.data_centre);
+    let own = [node.settings.data_centre.as_str(), node.settings.region()];
+    let pools = pool_areas(&view, &ask.service, &own);
     let Some(nearest) = pools.first() else {
-        return Err(Refused {
-            code: ResultCode::NoServer,
-        });
+        return Err(Refused::new(ResultCode::NoServer));
+    };
+    let avoided = local::unreachable(node, &ask.service);
+    let ask = AcquireAsk {
+        exclude: ask.exclude.iter().cloned().chain(avoided).collect(),
+        ..ask
     };
     if pools.len() > 1 {
         for pool in pools.iter().take(POOLS_MAX) {
@@ -75,19 +82,19 @@
 async fn ask_pool(
     node: &Arc<Node>,
     view: &View,
-    data_centre: &str,
+    area: &str,
     ask: &AcquireAsk,
     may_queue: bool,
 ) -> Result<Grant, Refused> {
     let now_ms = node.now_ms();
-    let order = owner_order(view, &ask.service, data_centre);
+    let order = owner_order(view, &ask.service, area);
     let willing = order.into_iter().filter(|instance| {
         node.contacts.with(hash_of(&instance.name), |contacts| {
             !is_skipped(contacts, &instance.name, now_ms)
         })
     });
     for owner in willing.take(OWNERS_MAX) {
-        if let Some(result) = ask_owner(node, owner, data_centre, ask, may_queue).await {
+        if let Some(result) = ask_owner(node, owner, area, ask, may_queue).await {
             return result;
         }
     }
@@ -102,23 +109,13 @@
 async fn ask_owner(
     node: &Arc<Node>,
     owner: &Instance,
-    data_centre: &str,
+    area: &str,
     ask: &AcquireAsk,
     may_queue: bool,
 ) -> Option<Result<Grant, Refused>> {
     let mut ticket = None;
     loop {
-        let left = ask.deadline.saturating_duration_since(Instant::now());
-        let message = PermitAsk {
-            service: ask.service.clone(),
-            data_centre: data_centre.to_owned(),
-            entry: node.settings.instance.clone(),
-            remaining_ms: left.as_millis() as u64,
-            idempotent: ask.idempotent,
-            may_queue,
-            exclude: ask.exclude.clone(),
-            ticket,
-        };
+        let message = message(node, area, ask, may_queue, ticket);
         let answer = if owner.name == node.settings.instance {
             pool_take::take(node, &message).await
         } else {
@@ -126,33 +123,57 @@
                 .await
                 .ok()?
         };
+        let retry_after_ms = Some(answer.retry_after_ms).filter(|&ms| ms > 0);
+        let refused = |code| {
+            Some(Err(Refused {
+                code,
+                retry_after_ms,
+            }))
+        };
         match answer.verdict {
-            PermitVerdict::Granted => return grant(owner, data_centre, ask, answer).map(Ok),
+            PermitVerdict::Granted => return grant(owner, area, ask, answer).map(Ok),
             PermitVerdict::Queued => {
                 ticket = Some(answer.ticket);
                 sleep(Duration::from_millis(answer.ask_after_ms)).await;
             }
             PermitVerdict::Busy | PermitVerdict::Overloaded => {
-                return Some(refused(ResultCode::Overloaded));
+                return refused(ResultCode::Overloaded);
             }
-            PermitVerdict::NoServer => return Some(refused(ResultCode::NoServer)),
+            PermitVerdict::NoServer => return refused(ResultCode::NoServer),
+            PermitVerdict::NoBudget => return refused(ResultCode::RetryBudgetSpent),
         }
     }
 }
 
-fn refused(code: ResultCode) -> Result<Grant, Refused> {
-    Err(Refused { code })
+fn message(
+    node: &Node,
+    area: &str,
+    ask: &AcquireAsk,
+    may_queue: bool,
+    ticket: Option<u64>,
+) -> PermitAsk {
+    let now = Instant::now();
+    let left_ms = |until: Instant| until.saturating_duration_since(now).as_millis() as u64;
+    PermitAsk {
+        service: ask.service.clone(),
+        area: area.to_owned(),
+        data_centre: node.settings.data_centre.clone(),
+        entry: node.settings.instance.clone(),
+        remaining_ms: left_ms(ask.deadline),
+        target_ms: ask.target.map_or(0, left_ms),
+        priority: ask.priority,
+        sent: ask.sent,
+        idempotent: ask.idempotent,
+        may_queue,
+        exclude: ask.exclude.clone(),
+        ticket,
+    }
 }
 
-fn grant(
-    owner: &Instance,
-    data_centre: &str,
-    ask: &AcquireAsk,
-    answer: PermitAnswer,
-) -> Option<Grant> {
+fn grant(owner: &Instance, area: &str, ask: &AcquireAsk, answer: PermitAnswer) -> Option<Grant> {
     Some(Grant {
         service: ask.service.clone(),
-        data_centre: data_centre.to_owned(),
+        area: area.to_owned(),
         owner: owner.name.clone(),
         permit: answer.permit,
         server: answer.server,
@@ -163,12 +184,15 @@
 }
 
 fn give_back(node: &Arc<Node>, release: Release) {
+    if release.evidence == Evidence::Unreachable {
+        local::note_unreachable(node, &release.grant.server);
+    }
     if release.grant.owner.is_empty() {
         return local::release(node, &release);
     }
     let back = PermitReturn {
         service: release.grant.service,
-        data_centre: release.grant.data_centre,
+        area: release.grant.area,
         permit: release.grant.permit,
         server: release.grant.server,
         evidence: evidence(release.evidence),
@@ -183,9 +207,15 @@
     tokio::spawn(async move {
         let view = node.view.load_full();
         if let Some(owner) = find_instance(&view, &release.grant.owner) {
-            // A return that gets lost costs the slot until the permit expires.
-            let _: Result<bool, _> =
-                call(&node, owner, "permit_return", &back, RETURN_TIMEOUT_MS).await;
+            for _ in 0..RETURN_TRIES {
+                let returned: Result<bool, _> =
+                    call(&node, owner, "permit_return", &back, RETURN_TIMEOUT_MS).await;
+                if returned.is_ok() {
+                    return;
+                }
+            }
+            // A return that is lost costs the slot until the permit expires.
+            log::debug!("a permit of {} was not given back", back.service);
         }
     });
 }
@@ -196,6 +226,8 @@
         Evidence::Failed => EvidenceText::Failed,
         Evidence::Overdue => EvidenceText::Overdue,
         Evidence::Shed => EvidenceText::Shed,
+        Evidence::Unreachable => EvidenceText::Unreachable,
+        Evidence::Misdirected => EvidenceText::Misdirected,
         Evidence::Nothing => EvidenceText::Nothing,
     }
 }
--- a/crates/daemon/src/commands/adopt.rs
+++ b/crates/daemon/src/commands/adopt.rs
@@ -7,7 +7,9 @@
         Node,
     },
     config::{commands, queries, Accepted},
+    log::info,
     member::{queries::live_instances, Instance},
+    serde_json::json,
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
     wire::{
@@ -61,25 +63,37 @@
     };
     let answer: Result<ConfigAnswer, _> =
         call(node, peer, "config_current", &ask, ASK_TIMEOUT_MS).await;
-    let Ok(ConfigAnswer {
-        version,
-        digest,
-        through_offset,
-        document: Some(document),
-    }) = answer
-    else {
+    if let Ok(answer) = answer {
+        adopt_answer(node, &answer);
+    }
+}
+
+/// Puts another instance's version in force, unless a newer one is.
+pub(crate) fn adopt_answer(node: &Node, answer: &ConfigAnswer) {
+    let Some(document) = &answer.document else {
         return;
     };
     let accepted = Accepted {
-        version,
-        digest,
-        through_offset,
-        document: convert::document_from_text(&document),
+        version: answer.version,
+        digest: answer.digest.clone(),
+        through_offset: answer.through_offset,
+        document: convert::document_from_text(document),
     };
+    adopt_accepted(node, &accepted, "another instance");
+}
+
+/// Puts a version in force, unless a newer one is.
+pub(crate) fn adopt_accepted(node: &Node, accepted: &Accepted, source: &str) {
     let adopted = node
         .config
-        .with(0, |state| commands::adopt(&mut state.fold, &accepted));
-    if adopted {
-        publish(node);
+        .with(0, |state| commands::adopt(&mut state.fold, accepted));
+    if !adopted {
+        return;
+    }
+    publish(node);
+    if let Some(feed) = node.feed.get() {
+        feed::commands::note_config_changed(feed);
     }
+    let line = json!({ "belief": "in force", "version": accepted.version, "source": source });
+    info!(target: "decision.config", "{line}");
 }
--- /dev/null
+++ b/crates/daemon/src/commands/assemble.rs
@@ -0,0 +1,220 @@
+//! Puts the parts of a node together: followers, request path, front ends.
+
+use {
+    crate::{
+        commands::{
+            acquire, adopt, change_config, claims, fold_config, members,
+            peers::{call, close_idle},
+            pool_tick, snapshot,
+        },
+        queries, Node, Stage,
+    },
+    config::{Accepted, Detection, Service},
+    entry::{commands::run, Answer, Connections, Names, Path, Rules},
+    feed::{Feed, Hooks},
+    front::{Admin, CallerLimits, Callers},
+    member::Instance,
+    std::{sync::Arc, time::Duration},
+    stream::Published,
+    tokio::time::sleep,
+    types::{hash_of, ResultCode},
+};
+
+/// Time between sweeps of idle connections, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 1_000;
+/// Deadline of a request that brings none where the platform names none for its service, in milliseconds.
+const STORE_DEADLINE_MS: u64 = 600_000;
+/// Largest answer held until it is whole where the platform names none, in bytes; as much as a held upload.
+const STORE_HOLD_BYTES: u64 = 512 * 1024;
+/// Largest head of a request before a configuration is known, in bytes.
+const HEADER_BYTES: usize = 64 * 1024;
+/// Time for which an idle connection is kept before a configuration is known, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 15_000;
+
+/// Follows the platform's log and its list of members.
+pub(crate) fn follow_log(node: &Arc<Node>) {
+    tokio::spawn(members::follow_members(Arc::clone(node)));
+    tokio::spawn(fold_config::follow_config(Arc::clone(node)));
+    tokio::spawn(adopt::ask_peers(Arc::clone(node)));
+    tokio::spawn(snapshot::keep_snapshots(Arc::clone(node)));
+    tokio::spawn(pool_tick::tick_pools(Arc::clone(node)));
+}
+
+/// Follows the platform's store.
+pub(crate) fn follow_store(node: &Arc<Node>) {
+    let settings = &node.settings;
+    let options = platform::Options {
+        regions: settings.regions.clone(),
+        service: Service {
+            name: String::new(),
+            detection: Detection::Fast,
+            floor_slots: 0,
+            deadline_ms: STORE_DEADLINE_MS,
+            retry_percent: settings.retry_percent,
+            max_body_bytes: u64::MAX,
+            hold_bytes: STORE_HOLD_BYTES,
+        },
+    };
+    let own = Instance {
+        region: settings.region().to_owned(),
+        capacity_permille: settings.capacity_permille,
+        incarnation: crate::node::wall_ms(),
+        ..Instance::new(
+            &settings.instance,
+            &settings.data_centre,
+            settings.rpc_address,
+        )
+    };
+    let source = platform::source(&node.platform, options);
+    let feed = Arc::new(Feed::new(own, source, hooks(node)));
+    // Set once, before anything asks for it.
+    let _ = node.feed.set(Arc::clone(&feed));
+    tokio::spawn(feed::commands::follow(feed));
+    tokio::spawn(pool_tick::tick_pools(Arc::clone(node)));
+}
+
+fn hooks(node: &Arc<Node>) -> Hooks {
+    let share = || Arc::clone(node);
+    let (sync, skipped, version, published) = (share(), share(), share(), share());
+    let (adopted, answer, list) = (share(), share(), share());
+    Hooks {
+        sync: Box::new(move |peer, ask, limit_ms| {
+            let node = Arc::clone(&sync);
+            Box::pin(async move { call(&node, &peer, "sync", &ask, limit_ms).await.ok() })
+        }),
+        is_skipped: Box::new(move |name| {
+            let now_ms = skipped.now_ms();
+            skipped.contacts.with(hash_of(name), |contacts| {
+                member::queries::is_skipped(contacts, name, now_ms)
+            })
+        }),
+        config_version: Box::new(move || queries::version_in_force(&version)),
+        put_in_force: Box::new(move |new| put_in_force(&published, new)),
+        adopt: Box::new(move |answer| adopt::adopt_answer(&adopted, answer)),
+        config_answer: Box::new(move |known| {
+            let known_answer = queries::config_answer(&answer, known);
+            (known_answer.version > known).then_some(known_answer)
+        }),
+        publish: Box::new(move |view| list.view.store(Arc::new(view))),
+    }
+}
+
+/// Puts a configuration that the platform has as approved in force, unless a newer one is.
+fn put_in_force(node: &Node, published: &Published) {
+    let accepted = Accepted {
+        version: published.version,
+        digest: config::queries::digest(&published.document),
+        through_offset: 0,
+        document: published.document.clone(),
+    };
+    for finding in config::queries::verify(&published.document) {
+        log::warn!(
+            "configuration {}: {}: {}",
+            published.version,
+            finding.path,
+            finding.sentence
+        );
+    }
+    adopt::adopt_accepted(node, &accepted, "platform");
+}
+
+/// Makes the request path.
+pub(crate) fn request_path(node: &Arc<Node>) -> Arc<Path> {
+    let (for_retry, for_answer) = (Arc::clone(node), Arc::clone(node));
+    let path = Arc::new(Path {
+        policy: acquire::policy(node),
+        claims: claims::claims(node),
+        connections: Connections::new(),
+        names: if node.settings.uses_store {
+            platform::names()
+        } else {
+            Names::new()
+        },
+        note_retry: Box::new(move |service, allowed| {
+            let verdict = if allowed { "spent" } else { "refused" };
+            for_retry
+                .metrics
+                .retries
+                .with_label_values(&[service, verdict])
+                .inc();
+        }),
+        note_answer: Box::new(move |service, code, elapsed| {
+            let number = code.number().to_string();
+            let labels = [service, number.as_str()];
+            let metrics = &for_answer.metrics;
+            metrics.requests.with_label_values(&labels).inc();
+            metrics
+                .latency
+                .with_label_values(&labels)
+                .observe(elapsed.as_secs_f64());
+        }),
+    });
+    let swept = Arc::clone(&path);
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(SWEEP_INTERVAL_MS)).await;
+            swept.connections.sweep();
+            close_idle(&node);
+        }
+    });
+    path
+}
+
+/// Makes what the callers' front end calls.
+pub(crate) fn callers(node: &Arc<Node>, path: Arc<Path>) -> Callers {
+    let share = || Arc::clone(node);
+    let (for_run, for_limits, for_leaving) = (share(), share(), share());
+    Callers {
+        run: Box::new(move |incoming| {
+            let (node, path) = (Arc::clone(&for_run), Arc::clone(&path));
+            Box::pin(async move {
+                let Some(in_force) = node.current.load_full() else {
+                    return Answer::own(ResultCode::NoConfiguration);
+                };
+                let rules = Rules {
+                    version: in_force.accepted.version,
+                    document: &in_force.accepted.document,
+                    lookup: &in_force.lookup,
+                };
+                run(&path, rules, incoming).await
+            })
+        }),
+        limits: Box::new(move || {
+            let current = for_limits.current.load();
+            let limits = current
+                .as_deref()
+                .and_then(|in_force| in_force.accepted.document.limits);
+            CallerLimits {
+                header_bytes: limits.map_or(HEADER_BYTES, |limits| limits.header_bytes as usize),
+                idle_timeout_ms: limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms),
+            }
+        }),
+        is_leaving: Box::new(move || for_leaving.stage() >= Stage::Leaving),
+    }
+}
+
+/// Makes what the operators' front end calls.
+pub(crate) fn admin(node: &Arc<Node>) -> Admin {
+    let share = || Arc::clone(node);
+    let (ready, metrics, status, config) = (share(), share(), share(), share());
+    let (history, principal) = (share(), share());
+    let (propose, approve, reject) = (share(), share(), share());
+    Admin {
+        is_ready: Box::new(move || queries::is_ready(&ready)),
+        metrics: Box::new(move || metrics.metrics.text()),
+        status: Box::new(move || queries::status(&status)),
+        config: Box::new(move || queries::config_view(&config)),
+        history: Box::new(move || queries::history(&history)),
+        principal: Box::new(move |token| queries::principal(&principal.settings, token)),
+        propose: Box::new(move |principal, ask| {
+            Box::pin(change_config::propose(Arc::clone(&propose), principal, ask))
+        }),
+        approve: Box::new(move |principal, ask| {
+            Box::pin(change_config::approve(Arc::clone(&approve), principal, ask))
+        }),
+        reject: Box::new(move |principal, ask| {
+            Box::pin(change_config::reject(Arc::clone(&reject), principal, ask))
+        }),
+    }
+}
--- a/crates/daemon/src/commands/eject.rs
+++ b/crates/daemon/src/commands/eject.rs
@@ -14,7 +14,7 @@
         owner::PoolState,
         Node,
     },
-    member::queries::{is_skipped, owner_order, pool_data_centres},
+    member::queries::{is_skipped, owner_order, pool_areas},
     outlier::{
         commands::{begin_ejection, end_ejection},
         queries::{self, judge},
@@ -42,7 +42,7 @@
     bad_share: f64,
     kind: RecordKind,
     service: String,
-    data_centre: String,
+    area: String,
     server: String,
     address: SocketAddr,
     slots: u32,
@@ -106,7 +106,7 @@
                 bad_share: health.map_or(0.0, |entry| entry.bad_share),
                 kind,
                 service: state.service.clone(),
-                data_centre: state.data_centre.clone(),
+                area: state.area.clone(),
                 server: state.pool.names.name(index).to_owned(),
                 address: server.address,
                 slots: server.slots,
@@ -208,18 +208,18 @@
     others.add(&own_proved(
         node,
         &case.service,
-        &case.data_centre,
+        &case.area,
         Some(&case.server),
     ));
-    for data_centre in pool_data_centres(&view, &case.service, &case.data_centre) {
-        if data_centre == case.data_centre {
+    for area in pool_areas(&view, &case.service, &[case.area.as_str()]) {
+        if area == case.area {
             continue;
         }
         let ask = ProvedAsk {
             service: case.service.clone(),
-            data_centre: data_centre.to_owned(),
+            area: area.to_owned(),
         };
-        let order = owner_order(&view, &case.service, data_centre);
+        let order = owner_order(&view, &case.service, area);
         let owner = order.into_iter().find(|instance| {
             node.contacts.with(hash_of(&instance.name), |contacts| {
                 !is_skipped(contacts, &instance.name, now_ms)
@@ -243,7 +243,7 @@
 pub(crate) fn own_proved(
     node: &Node,
     service: &str,
-    data_centre: &str,
+    area: &str,
     except: Option<&str>,
 ) -> ProvedAnswer {
     let now_ms = node.now_ms();
@@ -254,7 +254,7 @@
         names
     });
     out.extend(except.map(str::to_owned));
-    let id = node.owner.id(service, data_centre);
+    let id = node.owner.id(service, area);
     node.owner.with(id, |pools| match pools.get(&id) {
         Some(state) => proved_answer(state, now_ms, &out, except),
         None => NOTHING_PROVED,
--- a/crates/daemon/src/commands/local.rs
+++ b/crates/daemon/src/commands/local.rs
@@ -5,28 +5,33 @@
     entry::{AcquireAsk, Evidence, Grant, Refused, Release},
     log::info,
     member::{
-        queries::{pool_data_centres, pool_servers},
+        queries::{pool_areas, pool_servers},
         BackendServer, Presence, View,
     },
+    std::sync::atomic::Ordering,
     types::{hash_of, ResultCode},
     wire::{generated::PlacementDecision, to_text},
 };
 
 /// Failures in a row after which this instance avoids a server.
 const FAILURES_IN_ROW: u32 = 5;
+/// Time for which a server that could not be reached is not asked for, in milliseconds; a cut between two machines
+/// lasts for seconds, and another try costs a request a quarter of a second.
+const UNREACHABLE_MS: u64 = 2_000;
 /// Time for which it avoids the server, in milliseconds.
 const AVOID_MS: u64 = 30_000;
 
 /// Chooses the less loaded of two random live servers that are not avoided, nearest data centre first.
 pub(crate) fn choose(node: &Node, ask: &AcquireAsk) -> Result<Grant, Refused> {
     let view = node.view.load();
-    let own = &node.settings.data_centre;
-    let nearest = pool_data_centres(&view, &ask.service, own)
+    if ask.sent > 0 && !may_retry_alone(node) {
+        return Err(Refused::new(ResultCode::RetryBudgetSpent));
+    }
+    let own = [node.settings.data_centre.as_str(), node.settings.region()];
+    let nearest = pool_areas(&view, &ask.service, &own)
         .into_iter()
-        .find_map(|data_centre| choose_in(node, &view, ask, data_centre));
-    let server = nearest.ok_or(Refused {
-        code: ResultCode::NoServer,
-    })?;
+        .find_map(|area| choose_in(node, &view, ask, area));
+    let server = nearest.ok_or(Refused::new(ResultCode::NoServer))?;
     node.local.with(hash_of(&server.name), |servers| {
         servers.entry(server.name.clone()).or_default().in_flight += 1;
     });
@@ -37,10 +42,10 @@
     node: &Node,
     view: &'a View,
     ask: &AcquireAsk,
-    data_centre: &str,
+    area: &str,
 ) -> Option<&'a BackendServer> {
     let now_ms = node.now_ms();
-    let all: Vec<&BackendServer> = pool_servers(view, &ask.service, data_centre)
+    let all: Vec<&BackendServer> = pool_servers(view, &ask.service, area)
         .filter(|server| server.presence == Presence::Live && !ask.exclude.contains(&server.name))
         .collect();
     let kept: Vec<&BackendServer> = all
@@ -66,7 +71,7 @@
 fn log_avoided(release: &Release) {
     let decision = PlacementDecision {
         service: release.grant.service.clone(),
-        data_centre: release.grant.data_centre.clone(),
+        data_centre: release.grant.area.clone(),
         server: release.grant.server.clone(),
         standing: "avoided".to_owned(),
         reason: format!("{FAILURES_IN_ROW} failures in a row at this instance"),
@@ -74,11 +79,60 @@
     info!(target: "decision.placement", "{}", to_text(&decision));
 }
 
+/// Without an owner each instance has one retry a window: together they stay far below the fleet's slack.
+fn may_retry_alone(node: &Node) -> bool {
+    let now_ms = node.now_ms().max(1);
+    let last_ms = node.lone_retry_ms.load(Ordering::SeqCst);
+    if last_ms > 0 && now_ms < last_ms + node.settings.retry_window_ms {
+        return false;
+    }
+    let swapped =
+        node.lone_retry_ms
+            .compare_exchange(last_ms, now_ms, Ordering::SeqCst, Ordering::SeqCst);
+    swapped.is_ok()
+}
+
+/// Notes that this instance could not open a connection to `server`; others may well reach it.
+pub(crate) fn note_unreachable(node: &Node, server: &str) {
+    let now_ms = node.now_ms();
+    node.local.with(hash_of(server), |servers| {
+        let entry = servers.entry(server.to_owned()).or_default();
+        entry.unreachable_until_ms = now_ms + UNREACHABLE_MS;
+    });
+}
+
+/// Returns the servers that this instance could not reach a moment ago, unless they are most of the service.
+pub(crate) fn unreachable(node: &Node, service: &str) -> Vec<String> {
+    let now_ms = node.now_ms();
+    let mut names = Vec::new();
+    node.local.each(|servers| {
+        let cut = servers
+            .iter()
+            .filter(|(_, entry)| now_ms < entry.unreachable_until_ms);
+        names.extend(cut.map(|(name, _)| name.clone()));
+    });
+    if names.is_empty() {
+        return names;
+    }
+    let view = node.view.load();
+    let own = [node.settings.data_centre.as_str(), node.settings.region()];
+    let mut listed = Vec::new();
+    for area in pool_areas(&view, service, &own) {
+        listed.extend(pool_servers(&view, service, area).map(|server| server.name.as_str()));
+    }
+    names.retain(|name| listed.contains(&name.as_str()));
+    if names.len() * 2 > listed.len() {
+        names.clear();
+    }
+    names
+}
+
 /// Returns whether the server is to be avoided from now on.
 fn learn(entry: &mut LocalServer, evidence: Evidence, now_ms: u64) -> bool {
     match evidence {
         Evidence::Whole => entry.failures_in_row = 0,
-        Evidence::Failed | Evidence::Overdue => entry.failures_in_row += 1,
+        Evidence::Failed | Evidence::Overdue | Evidence::Unreachable => entry.failures_in_row += 1,
+        Evidence::Misdirected => entry.failures_in_row = FAILURES_IN_ROW,
         Evidence::Shed | Evidence::Nothing => {}
     }
     if entry.failures_in_row < FAILURES_IN_ROW {
@@ -112,7 +166,7 @@
 fn grant(server: &BackendServer) -> Grant {
     Grant {
         service: server.service.clone(),
-        data_centre: server.data_centre.clone(),
+        area: server.data_centre.clone(),
         owner: String::new(),
         permit: 0,
         server: server.name.clone(),
--- a/crates/daemon/src/commands/pool_list.rs
+++ b/crates/daemon/src/commands/pool_list.rs
@@ -7,7 +7,7 @@
     },
     config::{queries::find_service, Detection},
     member::{queries::pool_servers, BackendServer, Presence, View},
-    outlier::{Sensitivity, ServerHealth},
+    outlier::{queries::cost_permille, Sensitivity, ServerHealth},
     permit::{commands::list_server, Standing},
 };
 
@@ -26,15 +26,15 @@
     for (_, note) in state.notes.iter_mut() {
         note.listed = false;
     }
-    let (service, data_centre) = (state.service.clone(), state.data_centre.clone());
-    for server in pool_servers(view, &service, &data_centre) {
+    let (service, area) = (state.service.clone(), state.area.clone());
+    for server in pool_servers(view, &service, &area) {
         list_one(state, server, now_ms);
     }
-    restand(state);
+    restand(state, now_ms);
 }
 
-/// Recomputes every server's standing from its evidence, its ejection and its notes.
-pub(crate) fn restand(state: &mut PoolState) {
+/// Recomputes every server's standing and cost from its evidence, its ejection and its notes.
+pub(crate) fn restand(state: &mut PoolState, now_ms: u64) {
     for (index, server) in state.pool.servers.iter_mut() {
         let Some(note) = state.notes.get(index) else {
             continue;
@@ -45,6 +45,7 @@
             .get(index)
             .is_some_and(|entry| entry.suspect);
         server.leaving = !note.listed || note.draining;
+        server.cost_permille = cost_permille(&state.health, index, now_ms);
         server.standing = match (note.ejected, suspect) {
             (true, _) => Standing::Ejected,
             (false, true) => Standing::Suspect,
@@ -73,16 +74,37 @@
 }
 
 fn list_one(state: &mut PoolState, server: &BackendServer, now_ms: u64) {
-    let (index, is_new) = list_server(&mut state.pool, &server.name, server.address, server.slots);
+    let (index, is_new) = list_server(
+        &mut state.pool,
+        &server.name,
+        server.address,
+        &server.data_centre,
+        server.slots,
+    );
     if is_new {
-        state.health.servers.push(ServerHealth::default());
-        state.notes.push(Note::new());
-        let warm = now_ms.saturating_sub(state.created_ms) < WARM_POOL_MS;
-        if let (false, Some(entry)) = (warm, state.pool.servers.get_mut(index)) {
-            entry.open_slots = COLD_SLOTS.min(entry.slots);
+        state.health.servers.push(ServerHealth::new(now_ms));
+        state.notes.push(Note::new(server.born_ms));
+    }
+    let Some(note) = state.notes.get_mut(index) else {
+        return;
+    };
+    note.listed = server.presence == Presence::Live;
+    let is_reborn = note.born_ms != server.born_ms;
+    if is_reborn {
+        // A server that started again under its name holds nothing of before.
+        *note = Note {
+            listed: note.listed,
+            logged: note.logged,
+            ..Note::new(server.born_ms)
+        };
+        if let Some(entry) = state.health.servers.get_mut(index) {
+            *entry = ServerHealth::new(now_ms);
         }
     }
-    if let Some(note) = state.notes.get_mut(index) {
-        note.listed = server.presence == Presence::Live;
+    let warm = server.cold_ms == 0 && now_ms.saturating_sub(state.created_ms) < WARM_POOL_MS;
+    if let Some(entry) = state.pool.servers.get_mut(index) {
+        if (is_new || is_reborn) && !warm {
+            entry.open_slots = COLD_SLOTS.min(entry.slots);
+        }
     }
 }
--- a/crates/daemon/src/commands/pool_return.rs
+++ b/crates/daemon/src/commands/pool_return.rs
@@ -10,7 +10,7 @@
 
 /// Takes back the permit that `back` names and learns from its outcome.
 pub(crate) fn give(node: &Node, back: &PermitReturn) {
-    let id = node.owner.id(&back.service, &back.data_centre);
+    let id = node.owner.id(&back.service, &back.area);
     let now_ms = node.now_ms();
     node.owner.with(id, |pools| {
         if let Some(state) = pools.get_mut(&id) {
@@ -23,6 +23,7 @@
     let whole_us = (back.whole_us > 0).then_some(back.whole_us);
     let permit = give_back(&mut state.pool, PermitId::new(back.permit), whole_us);
     if let Some(server) = state.pool.names.find(&back.server) {
+        note_recent(state, back.evidence, now_ms);
         let known_overdue = permit.is_some_and(|permit| permit.overdue);
         let evidence = evidence(back, known_overdue);
         observe(
@@ -32,12 +33,13 @@
             state.sensitivity,
             now_ms,
         );
-        if let (true, Some(note)) = (back.draining, state.notes.get_mut(server)) {
+        let is_gone = back.draining || back.evidence == EvidenceText::Misdirected;
+        if let (true, Some(note)) = (is_gone, state.notes.get_mut(server)) {
             note.draining = true;
         }
         ramp_up(state, server, evidence);
     }
-    restand(state);
+    restand(state, now_ms);
     state.wake_first(now_ms);
 }
 
@@ -54,7 +56,20 @@
         EvidenceText::Failed => Evidence::Failed,
         EvidenceText::Overdue => Evidence::Overdue,
         EvidenceText::Shed => Evidence::Shed,
-        EvidenceText::Nothing => Evidence::Nothing,
+        EvidenceText::Unreachable => Evidence::Unreachable,
+        // It says nothing about the server, only that it is not there.
+        EvidenceText::Misdirected | EvidenceText::Nothing => Evidence::Nothing,
+    }
+}
+
+fn note_recent(state: &mut PoolState, evidence: EvidenceText, now_ms: u64) {
+    match evidence {
+        EvidenceText::Whole => state.recent.note(false, now_ms),
+        EvidenceText::Failed | EvidenceText::Overdue => state.recent.note(true, now_ms),
+        EvidenceText::Shed
+        | EvidenceText::Unreachable
+        | EvidenceText::Misdirected
+        | EvidenceText::Nothing => {}
     }
 }
 
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -6,8 +6,10 @@
         owner::{PoolId, PoolState},
         Node,
     },
+    config::queries::find_service,
+    member::queries::pool_areas,
     outlier::queries::hedge_limit_us,
-    permit::{commands, queries, Refusal, Wish},
+    permit::{commands, queries, Choice, Refusal, Wish},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -25,9 +27,25 @@
 /// Time past its deadline after which a permit is taken back, in milliseconds; covers a late return.
 const PERMIT_MARGIN_MS: u64 = 500;
 
+/// Part of the fleet's slack of retries that owners give, in percent.
+const SLACK_GIVEN_PERCENT: u32 = 40;
+/// Part of a service's share of retries that owners give, in percent.
+const SHARE_GIVEN_PERCENT: u32 = 80;
+/// Time without work after which a good server is given some by a request that may be repeated, in milliseconds.
+const NEGLECT_SAFE_MS: u64 = 800;
+/// The same for any request, in milliseconds: a new server is to have work within four seconds.
+const NEGLECT_MS: u64 = 2_000;
+/// Share of failed work from which servers without work are used as well, in percent; a service whose failures pass
+/// a tenth must spread its work.
+const SPREAD_FROM_PERCENT: u32 = 7;
+/// Window in which a server counts as used, in milliseconds; below the two seconds that are looked at.
+const SPREAD_WINDOW_MS: u64 = 1_500;
+/// Share of a pool's servers that are to be used in that window, in percent; above the seven tenths asked for.
+const SPREAD_SHARE_PERCENT: u32 = 80;
+
 enum Step {
     Granted(PermitAnswer),
-    Refused(PermitVerdict),
+    Refused(PermitVerdict, u64),
     Wait(u64, Arc<Notify>),
     AskAgain(u64, u64),
 }
@@ -35,7 +53,7 @@
 /// Answers `ask`, waiting for a slot for a short time if it may queue.
 pub(crate) async fn take(node: &Arc<Node>, ask: &PermitAsk) -> PermitAnswer {
     let asked = Instant::now();
-    let id = node.owner.id(&ask.service, &ask.data_centre);
+    let id = node.owner.id(&ask.service, &ask.area);
     let until = tokio::time::Instant::from_std(asked) + Duration::from_millis(QUEUE_WAIT_MS);
     let deadline_ms = node.now_ms() + ask.remaining_ms;
     let mut ticket = ask.ticket;
@@ -48,7 +66,13 @@
                     .observe(asked.elapsed().as_secs_f64());
                 return counted(node, answer);
             }
-            Step::Refused(verdict) => return counted(node, refusal(verdict, 0, 0)),
+            Step::Refused(verdict, retry_after_ms) => {
+                let refused = PermitAnswer {
+                    retry_after_ms,
+                    ..refusal(verdict, 0, 0)
+                };
+                return counted(node, refused);
+            }
             Step::AskAgain(ticket, after_ms) => {
                 return counted(node, refusal(PermitVerdict::Queued, ticket, after_ms))
             }
@@ -69,23 +93,76 @@
     deadline_ms: u64,
 ) -> Step {
     let now_ms = node.now_ms();
+    let terms = terms(node, ask);
     let (step, is_new) = node.owner.with(id, |pools| {
         let is_new = !pools.contains_key(&id);
         let state = open_pool(node, pools, id, ask, now_ms);
         state.asked_ms = now_ms;
-        let wish = Wish {
-            idempotent: ask.idempotent,
-            deadline_ms,
-            exclude: excluded(state, &ask.exclude),
-        };
-        (try_take(state, wish, ticket, ask.may_queue, now_ms), is_new)
+        let wish = wish(state, ask, ticket, deadline_ms, now_ms);
+        (try_take(state, wish, ticket, ask, terms, now_ms), is_new)
     });
     if is_new {
-        follow_service(node, &ask.service);
+        node.pool_opened.notify_one();
+        if !node.settings.uses_store {
+            follow_service(node, &ask.service);
+        }
     }
     step
 }
 
+/// The retries that a pool may grant.
+#[derive(Clone, Copy, Debug)]
+struct RetryTerms {
+    window_ms: u64,
+    percent: u32,
+    slack: u32,
+}
+
+/// A service's share is that of its document; the fleet's slack is divided among the service's pools. Of both only
+/// a part is given, since an owner's successor knows nothing of what it granted within the window.
+fn terms(node: &Node, ask: &PermitAsk) -> RetryTerms {
+    let pools = pool_areas(&node.view.load(), &ask.service, &[]).len() as u32;
+    let slack = node.settings.retry_slack * SLACK_GIVEN_PERCENT / 100;
+    let current = node.current.load();
+    let service = current.as_deref().and_then(|in_force| {
+        let document = &in_force.accepted.document;
+        find_service(document, &in_force.lookup, &ask.service)
+    });
+    let percent = service.map_or(0, |service| service.retry_percent);
+    RetryTerms {
+        window_ms: node.settings.retry_window_ms,
+        percent: percent * SHARE_GIVEN_PERCENT / 100,
+        slack: slack / pools.max(1),
+    }
+}
+
+fn wish(
+    state: &PoolState,
+    ask: &PermitAsk,
+    ticket: Option<u64>,
+    deadline_ms: u64,
+    now_ms: u64,
+) -> Wish {
+    let ahead = queries::ahead(&state.pool, ticket, ask.priority);
+    // With other pools to ask, or a short wait for a better server, a suspect is not taken.
+    let short_wait = queries::wait_us(&state.pool, ahead) <= queries::service_us(&state.pool);
+    let neglect_ms = if ask.idempotent {
+        NEGLECT_SAFE_MS
+    } else {
+        NEGLECT_MS
+    };
+    Wish {
+        idempotent: ask.idempotent,
+        deadline_ms,
+        target_ms: now_ms + ask.target_ms,
+        priority: ask.priority,
+        data_centre: ask.data_centre.clone(),
+        spurns_suspects: !ask.may_queue || (short_wait && queries::has_good(&state.pool)),
+        neglected_before_ms: now_ms.saturating_sub(neglect_ms),
+        exclude: excluded(state, &ask.exclude),
+    }
+}
+
 fn open_pool<'a>(
     node: &Node,
     pools: &'a mut HashMap<PoolId, PoolState>,
@@ -94,7 +171,7 @@
     now_ms: u64,
 ) -> &'a mut PoolState {
     pools.entry(id).or_insert_with(|| {
-        let mut state = PoolState::new(&ask.service, &ask.data_centre, now_ms);
+        let mut state = PoolState::new(&ask.service, &ask.area, now_ms);
         list_pool(node, &mut state, &node.view.load(), now_ms);
         state
     })
@@ -107,19 +184,31 @@
         .collect()
 }
 
-/// The first waiter that is here is served first; a newcomer only if none is.
+/// The first waiter that is here is served first; a newcomer only if none is, or if it is more urgent.
 fn try_take(
     state: &mut PoolState,
     wish: Wish,
     ticket: Option<u64>,
-    may_queue: bool,
+    ask: &PermitAsk,
+    terms: RetryTerms,
     now_ms: u64,
 ) -> Step {
-    let first = queries::first_present(&state.pool, now_ms);
-    if first.is_none() || first == ticket {
-        match queries::choose(&state.pool, &wish) {
+    let is_retry = ask.sent > 0;
+    if is_retry && !queries::may_retry(&state.budget, terms.percent, terms.slack) {
+        // Looked at again with the counts of now.
+        let RetryTerms { window_ms, .. } = terms;
+        commands::forget_old(&mut state.budget, window_ms, now_ms);
+        if !queries::may_retry(&state.budget, terms.percent, terms.slack) {
+            leave(state, ticket);
+            return Step::Refused(PermitVerdict::NoBudget, 0);
+        }
+    }
+    let ahead = queries::present_ahead(&state.pool, ticket, wish.priority, now_ms);
+    if ahead == 0 {
+        match pick(state, &wish, now_ms) {
             Ok(choice) => {
                 leave(state, ticket);
+                note_grant(state, is_retry, terms, now_ms);
                 let expires_ms = wish.deadline_ms + PERMIT_MARGIN_MS;
                 let id = commands::take(&mut state.pool, choice, now_ms, expires_ms);
                 state.wake_first(now_ms);
@@ -128,22 +217,52 @@
             Err(Refusal::NoServer) => {
                 leave(state, ticket);
                 state.wake_first(now_ms);
-                return Step::Refused(PermitVerdict::NoServer);
+                return Step::Refused(PermitVerdict::NoServer, 0);
             }
             Err(Refusal::Busy) => {}
         }
     }
-    if !may_queue {
-        return Step::Refused(PermitVerdict::Busy);
+    if !ask.may_queue {
+        return Step::Refused(PermitVerdict::Busy, 0);
     }
-    let ahead = queries::ahead(&state.pool, ticket);
+    let ahead = queries::ahead(&state.pool, ticket, wish.priority);
     if !queries::fits_deadline(&state.pool, ahead, now_ms, wish.deadline_ms) {
         leave(state, ticket);
-        return Step::Refused(PermitVerdict::Overloaded);
+        let drain_ms = (queries::wait_us(&state.pool, ahead) / 1_000.0) as u64;
+        // Spread, so that those who were refused together do not come back together.
+        let retry_after_ms = drain_ms / 2 + fastrand::u64(0..=drain_ms.max(1));
+        return Step::Refused(PermitVerdict::Overloaded, retry_after_ms);
     }
     wait(state, wish, ticket, ahead, now_ms)
 }
 
+/// While a good part of the service's work fails, servers that got none for a while are used as well, so that the
+/// service does not narrow itself to a few.
+fn pick(state: &PoolState, wish: &Wish, now_ms: u64) -> Result<Choice, Refusal> {
+    if state.recent.failed_percent() >= SPREAD_FROM_PERCENT {
+        let since_ms = now_ms.saturating_sub(SPREAD_WINDOW_MS);
+        let unused = queries::choose_unused(&state.pool, wish, since_ms, SPREAD_SHARE_PERCENT);
+        if let Some(choice) = unused {
+            return Ok(choice);
+        }
+    }
+    queries::choose(&state.pool, wish)
+}
+
+fn note_grant(state: &mut PoolState, is_retry: bool, terms: RetryTerms, now_ms: u64) {
+    if is_retry {
+        commands::spend(
+            &mut state.budget,
+            terms.window_ms,
+            terms.percent,
+            terms.slack,
+            now_ms,
+        );
+    } else {
+        commands::note_request(&mut state.budget, terms.window_ms, now_ms);
+    }
+}
+
 /// Who is near the front waits here; who is far behind asks again after half of its expected wait, so that a
 /// long queue costs few messages.
 fn wait(state: &mut PoolState, wish: Wish, ticket: Option<u64>, ahead: usize, now_ms: u64) -> Step {
@@ -188,6 +307,7 @@
         address: address.unwrap_or_default(),
         hedge_after_ms: hedge_limit_us(&state.health)
             .map_or(0, |limit_us| (limit_us / 1_000.0) as u64),
+        retry_after_ms: 0,
     }
 }
 
@@ -200,6 +320,7 @@
         server: String::new(),
         address: String::new(),
         hedge_after_ms: 0,
+        retry_after_ms: 0,
     }
 }
 
--- a/crates/daemon/src/commands/pool_tick.rs
+++ b/crates/daemon/src/commands/pool_tick.rs
@@ -5,7 +5,6 @@
         commands::{
             eject,
             fold_ejections::forget_unowned,
-            peers::close_idle,
             pool_list::{list_pool, restand},
             probe,
         },
@@ -29,31 +28,38 @@
 const TICK_MS: u64 = 25;
 /// Ticks between looks at ejections.
 const EJECT_TICKS: u64 = 8;
-/// Ticks between readings of the load endpoints.
-const LOAD_TICKS: u64 = 40;
+/// Ticks between readings of the load endpoints, and between reports to the metrics.
+const REPORT_TICKS: u64 = 40;
 /// Multiple of the late limit from which a request in flight is overdue; leaves the entry time to try a
 /// new connection first.
 const OVERDUE_FACTOR: f64 = 1.25;
 /// Time without an ask after which a pool is dropped, in milliseconds.
 const IDLE_POOL_MS: u64 = 60_000;
 
-/// Ticks for ever.
+/// Ticks for ever, while this node owns a pool.
 pub(crate) async fn tick_pools(node: Arc<Node>) {
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut count = 0_u64;
+    let uses_log = !node.settings.uses_store;
     loop {
+        if node.owner.is_empty() {
+            report(&node);
+            node.pool_opened.notified().await;
+        }
         ticks.tick().await;
         count += 1;
         tick(&node);
-        if count.is_multiple_of(EJECT_TICKS) {
+        // Ejections are agreed through the log's streams; with a store a suspect stays the last choice.
+        if uses_log && count.is_multiple_of(EJECT_TICKS) {
             eject::look(&node);
         }
-        if count.is_multiple_of(LOAD_TICKS) {
-            probe::read_loads(&node);
+        if count.is_multiple_of(REPORT_TICKS) {
             report(&node);
-            close_idle(&node);
-            forget_unowned(&node);
+            if uses_log {
+                probe::read_loads(&node);
+                forget_unowned(&node);
+            }
         }
     }
 }
@@ -77,7 +83,7 @@
         }
         let names = obeyed.get(&state.service).map_or(&[][..], Vec::as_slice);
         eject::apply_obeyed(state, names, now_ms);
-        restand(state);
+        restand(state, now_ms);
         announce(node, state);
         state.wake_first(now_ms);
     });
@@ -110,7 +116,7 @@
             .iter()
             .map(|&age_ms| age_ms as f64 * 1_000.0)
             .collect();
-        observe_flight(&mut state.health, server, &ages_us, sensitivity, now_ms);
+        observe_flight(&mut state.health, server, &ages_us, now_ms);
     }
 }
 
@@ -141,7 +147,7 @@
         .map_or(0.0, |entry| entry.llr);
     let decision = PlacementDecision {
         service: state.service.clone(),
-        data_centre: state.data_centre.clone(),
+        data_centre: state.area.clone(),
         server: state.pool.names.name(server).to_owned(),
         standing: crate::queries::standing_name(now.0, now.1).to_owned(),
         reason: format!("log-likelihood ratio {llr:.1}"),
@@ -154,7 +160,7 @@
     let mut counts: HashMap<(String, &'static str), i64> = HashMap::new();
     node.owner.each(|state| {
         let held = permit::queries::held(&state.pool) as i64;
-        let labels = [state.service.as_str(), state.data_centre.as_str()];
+        let labels = [state.service.as_str(), state.area.as_str()];
         node.metrics.held.with_label_values(&labels).set(held);
         for (_, server) in state.pool.servers.iter() {
             let name = crate::queries::standing_name(server.standing, server.leaving);
--- a/crates/daemon/src/commands/probe.rs
+++ b/crates/daemon/src/commands/probe.rs
@@ -26,23 +26,23 @@
         for (index, server) in state.pool.servers.iter() {
             if state.notes.get(index).is_some_and(|note| note.listed) {
                 let name = state.pool.names.name(index).to_owned();
-                let place = (state.service.clone(), state.data_centre.clone());
+                let place = (state.service.clone(), state.area.clone());
                 servers.push((place, name, server.address));
             }
         }
     });
-    for ((service, data_centre), name, address) in servers {
+    for ((service, area), name, address) in servers {
         let node = Arc::clone(node);
         tokio::spawn(async move {
             if let Some(draining) = says_draining(address).await {
-                note_draining(&node, &service, &data_centre, &name, draining);
+                note_draining(&node, &service, &area, &name, draining);
             }
         });
     }
 }
 
-fn note_draining(node: &Node, service: &str, data_centre: &str, name: &str, draining: bool) {
-    let id = node.owner.id(service, data_centre);
+fn note_draining(node: &Node, service: &str, area: &str, name: &str, draining: bool) {
+    let id = node.owner.id(service, area);
     node.owner.with(id, |pools| {
         let Some(state) = pools.get_mut(&id) else {
             return;
--- a/crates/daemon/src/commands/rpc.rs
+++ b/crates/daemon/src/commands/rpc.rs
@@ -13,7 +13,7 @@
     },
     std::{future::Future, io, net::TcpListener, sync::Arc},
     types::ResultCode,
-    wire::generated::{AnswerAsk, ConfigAsk, PermitAsk, PermitReturn, ProvedAsk},
+    wire::generated::{AnswerAsk, ConfigAsk, PermitAsk, PermitReturn, ProvedAsk, SyncAsk},
 };
 
 /// Most connections from other instances.
@@ -72,7 +72,13 @@
         |node, ask: ConfigAsk| async move { Ok(config_answer(&node, ask.known_version)) },
     )?;
     add(&mut module, "proved", |node, ask: ProvedAsk| async move {
-        Ok(own_proved(&node, &ask.service, &ask.data_centre, None))
+        Ok(own_proved(&node, &ask.service, &ask.area, None))
+    })?;
+    add(&mut module, "sync", |node, ask: SyncAsk| async move {
+        match node.feed.get() {
+            Some(feed) => Ok(feed::queries::sync_answer(feed, &ask).await),
+            None => Err(stopping()),
+        }
     })?;
     Ok(module)
 }
--- a/crates/daemon/src/commands/start.rs
+++ b/crates/daemon/src/commands/start.rs
@@ -2,22 +2,23 @@
 
 use {
     crate::{
-        commands::{
-            acquire, adopt, change_config, claims, fold_config, logging::start_logging, members,
-            pool_tick, rpc, snapshot,
-        },
-        queries, Node, Settings, SettingsError, Stage,
+        commands::{assemble, logging::start_logging, members, reload, rpc},
+        Node, Settings, SettingsError, Stage,
     },
     bpaf::Bpaf,
-    entry::{commands::run, Answer, Connections, Path},
-    front::{
-        commands::{serve_callers, serve_operators},
-        Admin, Callers,
-    },
+    front::commands::{serve_callers, serve_operators},
     jsonrpsee::server::ServerHandle,
     log::info,
+    serde_json::json,
     snafu::{ResultExt, Snafu},
-    std::{io, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::ExitCode,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::TcpListener,
         runtime::Builder,
@@ -26,13 +27,8 @@
         task::JoinHandle,
         time::sleep,
     },
-    types::{ResultCode, Shards},
 };
 
-/// Shards of the retry budgets.
-const BUDGET_SHARDS: usize = 16;
-/// Time between sweeps of idle connections, in milliseconds.
-const SWEEP_INTERVAL_MS: u64 = 1_000;
 /// Time left for permits and releases to go out after the last answer, in milliseconds.
 const FAREWELL_MS: u64 = 200;
 /// Exit status for settings that can't be used.
@@ -105,7 +101,7 @@
 }
 
 /// Runs an instance from its settings file to its end; with `check` only checks the file.
-pub fn run_file(path: &std::path::Path, check: bool) -> ExitCode {
+pub fn run_file(path: &Path, check: bool) -> ExitCode {
     let settings = match check_settings(path) {
         Ok(settings) => settings,
         Err(error) => {
@@ -117,7 +113,7 @@
         println!("{}: no errors", path.display());
         return ExitCode::SUCCESS;
     }
-    match serve(settings) {
+    match serve(path, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -131,12 +127,12 @@
 /// # Errors
 ///
 /// The file can't be read, or every wrong field of it.
-pub fn check_settings(path: &std::path::Path) -> Result<Settings, StartError> {
+pub fn check_settings(path: &Path) -> Result<Settings, StartError> {
     let text = std::fs::read(path).context(ReadSnafu { path })?;
     Ok(Settings::with_text(&text)?)
 }
 
-fn serve(settings: Settings) -> Result<(), StartError> {
+fn serve(path: &Path, settings: Settings) -> Result<(), StartError> {
     start_logging(&settings.instance, settings.log_level).map_err(setup)?;
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.worker_threads as usize)
@@ -144,13 +140,20 @@
         .build()
         .map_err(setup)?;
     runtime.block_on(async {
-        let started = start(settings).await?;
         let mut terminate = signal(SignalKind::terminate()).map_err(setup)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(setup)?;
+        let reloads = signal(SignalKind::hangup()).map_err(setup)?;
+        let started = start(settings).await?;
+        let reloading = tokio::spawn(reload::reload_settings(
+            Arc::clone(&started.node),
+            path.to_owned(),
+            reloads,
+        ));
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
+        reloading.abort();
         started.stop().await;
         Ok(())
     })
@@ -173,24 +176,38 @@
     let rpc_at = listen(settings.rpc_address).await?;
     let node = Arc::new(Node::new(settings).map_err(setup)?);
     let rpc = rpc::serve_rpc(&node, rpc_at.into_std().map_err(setup)?).map_err(setup)?;
-    members::read_once(&node).await;
-    spawn_followers(&node);
+    if node.settings.uses_store {
+        assemble::follow_store(&node);
+    } else {
+        members::read_once(&node).await;
+        assemble::follow_log(&node);
+    }
     let (stop, stage) = watch::channel(Stage::Starting);
     let caller_address = callers_at.local_addr().map_err(setup)?;
     let admin_address = admin_at.local_addr().map_err(setup)?;
-    let path = request_path(&node);
+    let path = assemble::request_path(&node);
+    let settings = &node.settings;
+    let finish_ms = settings.stop_ms - settings.drain_ms.min(settings.stop_ms);
     let callers = tokio::spawn(serve_callers(
         callers_at,
-        Arc::new(callers_closures(&node, path)),
+        Arc::new(assemble::callers(&node, path)),
         reaches(stage.clone(), Stage::Finishing),
+        finish_ms.saturating_sub(FAREWELL_MS),
     ));
     // Operators are served to the end, so the task is not waited for.
     tokio::spawn(serve_operators(
         admin_at,
-        Arc::new(admin_closures(&node)),
+        Arc::new(assemble::admin(&node)),
         std::future::pending(),
     ));
-    info!("started, incarnation {}", node.incarnation);
+    let line = json!({
+        "event": "start",
+        "incarnation": node.incarnation,
+        "data_centre": settings.data_centre,
+        "uses_store": settings.uses_store,
+        "uses_permits": settings.uses_permits,
+    });
+    info!(target: "decision.process", "{line}");
     Ok(Started {
         node,
         caller_address,
@@ -204,8 +221,11 @@
 impl Started {
     /// Stops gracefully: not ready, no new callers, finish what is in flight, give permits back.
     pub async fn stop(self) {
-        info!("leaving");
+        log_event("stop");
         self.node.advance(Stage::Leaving);
+        if let Some(feed) = self.node.feed.get() {
+            feed::commands::withdraw(feed).await;
+        }
         sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
         self.node.advance(Stage::Finishing);
         self.stop.send_replace(Stage::Finishing);
@@ -214,10 +234,14 @@
         sleep(Duration::from_millis(FAREWELL_MS)).await;
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
-        info!("stopped");
+        log_event("stopped");
     }
 }
 
+fn log_event(event: &str) {
+    info!(target: "decision.process", "{}", json!({ "event": event }));
+}
+
 async fn reaches(mut stage: watch::Receiver<Stage>, wanted: Stage) {
     // A closed channel means that the node was dropped without a stop.
     let _ = stage.wait_for(|stage| *stage >= wanted).await;
@@ -228,87 +252,3 @@
         .await
         .context(ListenSnafu { address })
 }
-
-fn spawn_followers(node: &Arc<Node>) {
-    tokio::spawn(members::follow_members(Arc::clone(node)));
-    tokio::spawn(fold_config::follow_config(Arc::clone(node)));
-    tokio::spawn(adopt::ask_peers(Arc::clone(node)));
-    tokio::spawn(snapshot::keep_snapshots(Arc::clone(node)));
-    tokio::spawn(pool_tick::tick_pools(Arc::clone(node)));
-}
-
-fn request_path(node: &Arc<Node>) -> Arc<Path> {
-    let (for_retry, for_answer) = (Arc::clone(node), Arc::clone(node));
-    let path = Arc::new(Path {
-        policy: acquire::policy(node),
-        claims: claims::claims(node),
-        connections: Connections::new(),
-        budgets: Shards::new(BUDGET_SHARDS),
-        started: node.started,
-        note_retry: Box::new(move |service, allowed| {
-            let verdict = if allowed { "spent" } else { "refused" };
-            for_retry
-                .metrics
-                .retries
-                .with_label_values(&[service, verdict])
-                .inc();
-        }),
-        note_answer: Box::new(move |service, code| {
-            let number = code.number().to_string();
-            for_answer
-                .metrics
-                .requests
-                .with_label_values(&[service, number.as_str()])
-                .inc();
-        }),
-    });
-    let swept = Arc::clone(&path);
-    tokio::spawn(async move {
-        loop {
-            sleep(Duration::from_millis(SWEEP_INTERVAL_MS)).await;
-            swept.connections.sweep();
-        }
-    });
-    path
-}
-
-fn callers_closures(node: &Arc<Node>, path: Arc<Path>) -> Callers {
-    let (for_run, for_leaving) = (Arc::clone(node), Arc::clone(node));
-    Callers {
-        run: Box::new(move |incoming| {
-            let (node, path) = (Arc::clone(&for_run), Arc::clone(&path));
-            Box::pin(async move {
-                let Some(in_force) = node.current.load_full() else {
-                    return Answer::Own(ResultCode::NoConfiguration);
-                };
-                let document = &in_force.accepted.document;
-                run(&path, document, &in_force.lookup, incoming).await
-            })
-        }),
-        is_leaving: Box::new(move || for_leaving.stage() >= Stage::Leaving),
-    }
-}
-
-fn admin_closures(node: &Arc<Node>) -> Admin {
-    let share = || Arc::clone(node);
-    let (ready, metrics, status, config) = (share(), share(), share(), share());
-    let (history, principal) = (share(), share());
-    let (propose, approve, reject) = (share(), share(), share());
-    Admin {
-        is_ready: Box::new(move || ready.stage() == Stage::Running),
-        metrics: Box::new(move || metrics.metrics.text()),
-        status: Box::new(move || queries::status(&status)),
-        config: Box::new(move || queries::config_view(&config)),
-        history: Box::new(move || queries::history(&history)),
-        principal: Box::new(move |token| queries::principal(&principal.settings, token)),
-        propose: Box::new(move |principal, ask| {
-            Box::pin(change_config::propose(Arc::clone(&propose), principal, ask))
-        }),
-        approve: Box::new(move |principal, ask| {
-            Box::pin(change_config::approve(Arc::clone(&approve), principal, ask))
-        }),
-        reject: Box::new(move |principal, ask| {
-            Box::pin(change_config::reject(Arc::clone(&reject), principal, ask))
-        }),
-    }
-}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,19 +1,26 @@
 //! The metrics of one node, in a registry of its own.
 
 use prometheus::{
-    core::Collector, Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    core::Collector, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the queue wait's buckets, in seconds.
 const WAIT_BUCKETS_S: [f64; 8] = [0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 2.0];
 
+/// Bounds of the latency's buckets, in seconds: from the added time aimed at to the longest route timeout seen.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.0026, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0,
+];
+
 /// All metrics of a node.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
     /// Requests by service and result code.
     pub(crate) requests: IntCounterVec,
+    /// Time from a request's arrival to the head of its answer, by service and result code.
+    pub(crate) latency: HistogramVec,
     /// Retries and hedges by service and verdict.
     pub(crate) retries: IntCounterVec,
     /// Permit asks answered as owner, by verdict.
@@ -53,6 +60,7 @@
                 "Requests by result",
                 &["service", "code"],
             )?,
+            latency: latency(&registry)?,
             retries: counter(
                 &registry,
                 "retries_total",
@@ -143,6 +151,12 @@
     keep(registry, IntGauge::with_opts(named(name, help))?)
 }
 
+fn latency(registry: &Registry) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::from(named("request_seconds", "Time to the head of the answer"));
+    let opts = opts.buckets(LATENCY_BUCKETS_S.to_vec());
+    keep(registry, HistogramVec::new(opts, &["service", "code"])?)
+}
+
 fn wait(registry: &Registry) -> Result<Histogram, prometheus::Error> {
     let opts = HistogramOpts::from(named("queue_wait_seconds", "Wait for a slot"));
     keep(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,7 @@
     claim::{Answers, Table},
     config::{Accepted, Lookup, State, Verdict},
     entry::StoredAnswer,
+    feed::Feed,
     jsonrpsee::ws_client::WsClient,
     member::{Contacts, View},
     outlier::Ejections,
@@ -16,12 +17,12 @@
         collections::{HashMap, VecDeque},
         sync::{
             atomic::{AtomicU64, AtomicU8, Ordering},
-            Arc,
+            Arc, OnceLock,
         },
         time::{Instant, SystemTime, UNIX_EPOCH},
     },
     stream::{Batcher, Platform},
-    tokio::sync::{watch, OnceCell},
+    tokio::sync::{watch, Notify, OnceCell},
     types::Shards,
 };
 
@@ -84,6 +85,8 @@
     pub(crate) in_flight: u32,
     pub(crate) failures_in_row: u32,
     pub(crate) avoid_until_ms: u64,
+    /// Until when it is not asked for, since no connection to it could be opened, in milliseconds.
+    pub(crate) unreachable_until_ms: u64,
 }
 
 /// One node.
@@ -95,6 +98,12 @@
     pub(crate) started: Instant,
     pub(crate) stage: AtomicU8,
     pub(crate) platform: Platform,
+    /// What keeps the lists up to date where the platform keeps them in a store.
+    pub(crate) feed: OnceLock<Arc<Feed>>,
+    /// When a retry was last allowed without an owner, in milliseconds; 0 before the first.
+    pub(crate) lone_retry_ms: AtomicU64,
+    /// Wakes the ticks of pools when the first pool is opened.
+    pub(crate) pool_opened: Notify,
     pub(crate) view: ArcSwap<View>,
     pub(crate) contacts: Shards<Contacts>,
     pub(crate) peers: Shards<HashMap<String, Peer>>,
@@ -134,6 +143,9 @@
             incarnation,
             started: Instant::now(),
             stage: AtomicU8::new(Stage::Starting as u8),
+            feed: OnceLock::new(),
+            lone_retry_ms: AtomicU64::new(0),
+            pool_opened: Notify::new(),
             view: ArcSwap::default(),
             contacts: Shards::new(SHARD_COUNT),
             peers: Shards::new(SHARD_COUNT),
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -2,25 +2,27 @@
 
 use {
     outlier::{Health, Sensitivity},
-    permit::{Pool, Standing},
+    permit::{Budget, Pool, Recent, Standing},
     std::{collections::HashMap, sync::Arc},
     tokio::sync::Notify,
     types::{hash_of, DataCentreIndex, EntityMap, Interner, ServerIndex, ServiceIndex, Shards},
 };
 
-/// A pool: one service in one data centre.
+/// A pool: one service in one data centre, or in one region.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct PoolId {
     pub(crate) service: ServiceIndex,
-    pub(crate) data_centre: DataCentreIndex,
+    pub(crate) area: DataCentreIndex,
 }
 
 /// What the owner notes of a server beside its slots and its evidence.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Note {
+    /// Start of the server, in milliseconds since 1970; 0 if not known.
+    pub(crate) born_ms: u64,
     /// Whether the list has it as live.
     pub(crate) listed: bool,
-    /// Whether it said itself that it drains.
+    /// Whether it said itself that it drains, or another server has its address.
     pub(crate) draining: bool,
     /// Whether an ejection of it is obeyed.
     pub(crate) ejected: bool,
@@ -31,9 +33,10 @@
 }
 
 impl Note {
-    /// Notes a server that was just listed.
-    pub(crate) fn new() -> Self {
+    /// Notes a server that was just listed and started at `born_ms`.
+    pub(crate) fn new(born_ms: u64) -> Self {
         Self {
+            born_ms,
             listed: true,
             draining: false,
             ejected: false,
@@ -46,7 +49,11 @@
 /// One pool with all that its owner knows.
 pub(crate) struct PoolState {
     pub(crate) service: String,
-    pub(crate) data_centre: String,
+    pub(crate) area: String,
+    /// Retries of this pool's share of the service.
+    pub(crate) budget: Budget,
+    /// Requests and failed ones of late, for how much of the service fails.
+    pub(crate) recent: Recent,
     pub(crate) pool: Pool,
     pub(crate) health: Health,
     pub(crate) notes: EntityMap<ServerIndex, Note>,
@@ -63,10 +70,12 @@
 
 impl PoolState {
     /// Creates a pool without servers.
-    pub(crate) fn new(service: &str, data_centre: &str, now_ms: u64) -> Self {
+    pub(crate) fn new(service: &str, area: &str, now_ms: u64) -> Self {
         Self {
             service: service.to_owned(),
-            data_centre: data_centre.to_owned(),
+            area: area.to_owned(),
+            budget: Budget::new(),
+            recent: Recent::default(),
             // Another owner's permits must not be taken for this one's.
             pool: Pool::with_first_permit(fastrand::u64(1..u64::MAX / 2)),
             health: Health::new(),
@@ -93,7 +102,7 @@
 #[derive(Debug, Default)]
 struct Names {
     services: Interner<ServiceIndex>,
-    data_centres: Interner<DataCentreIndex>,
+    areas: Interner<DataCentreIndex>,
 }
 
 /// All pools that this node owns or owned until lately.
@@ -112,10 +121,10 @@
     }
 
     /// Returns the id of a pool by its names.
-    pub(crate) fn id(&self, service: &str, data_centre: &str) -> PoolId {
+    pub(crate) fn id(&self, service: &str, area: &str) -> PoolId {
         self.names.with(0, |names| PoolId {
             service: names.services.intern(service),
-            data_centre: names.data_centres.intern(data_centre),
+            area: names.areas.intern(area),
         })
     }
 
@@ -136,6 +145,13 @@
             .each(|pools| pools.values_mut().for_each(&mut work));
     }
 
+    /// Tells whether this node owns no pool.
+    pub(crate) fn is_empty(&self) -> bool {
+        let mut count = 0;
+        self.pools.each(|pools| count += pools.len());
+        count == 0
+    }
+
     /// Drops the pools that `keep` refuses.
     pub(crate) fn retain<Keep>(&self, mut keep: Keep)
     where
--- a/crates/daemon/src/queries.rs
+++ b/crates/daemon/src/queries.rs
@@ -7,5 +7,5 @@
 pub(crate) use self::{
     answers::{answer_text, stored_answer},
     configs::{config_answer, config_view, history, principal},
-    status::{log_age_ms, standing_name, status, version_in_force},
+    status::{is_ready, log_age_ms, standing_name, status, version_in_force},
 };
--- a/crates/daemon/src/queries/status.rs
+++ b/crates/daemon/src/queries/status.rs
@@ -1,7 +1,7 @@
 //! What a person wants to know of a node: what is out of service and why.
 
 use {
-    crate::{owner::PoolState, Node},
+    crate::{owner::PoolState, Node, Stage},
     permit::Standing,
     std::sync::atomic::Ordering,
     types::ServerIndex,
@@ -24,7 +24,7 @@
         instance: node.settings.instance.clone(),
         data_centre: node.settings.data_centre.clone(),
         incarnation: node.incarnation,
-        ready: node.stage() == crate::Stage::Running,
+        ready: is_ready(node),
         config_version: version_in_force(node),
         config_digest: digest.to_owned(),
         log_age_ms: log_age_ms(node),
@@ -45,7 +45,7 @@
     };
     Some(ServerStatus {
         service: state.service.clone(),
-        data_centre: state.data_centre.clone(),
+        data_centre: state.area.clone(),
         server: state.pool.names.name(index).to_owned(),
         standing: standing_name(server.standing, server.leaving).to_owned(),
         held: server.held,
@@ -55,6 +55,15 @@
     })
 }
 
+/// Tells whether the node takes callers: it knows a configuration and the servers, and does not leave.
+pub(crate) fn is_ready(node: &Node) -> bool {
+    let knows_servers = node
+        .feed
+        .get()
+        .is_none_or(|feed| feed::queries::is_complete(feed));
+    node.stage() == Stage::Running && knows_servers
+}
+
 /// Names a standing for people and metrics.
 pub(crate) fn standing_name(standing: Standing, leaving: bool) -> &'static str {
     match (leaving, standing) {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,11 +1,12 @@
 //! An instance's settings: typed, with defaults, checked in one place.
 
 use {
+    member::CAPACITY_PERMILLE,
     snafu::Snafu,
-    std::net::SocketAddr,
+    std::{collections::HashMap, net::SocketAddr},
     wire::{
         from_text,
-        generated::{PolicyText, PrincipalText, SettingsText},
+        generated::{PlatformText, PolicyText, PrincipalText, SettingsText},
         CodecError,
     },
 };
@@ -20,6 +21,16 @@
 const SNAPSHOT_INTERVAL_MS: u64 = 600_000;
 /// Default time between readiness going false and the listener closing, in milliseconds.
 const DRAIN_MS: u64 = 1_500;
+/// Default time from the signal to stop to the end, in milliseconds.
+const STOP_MS: u64 = 120_000;
+/// Default share of retries with the store, in percent.
+const RETRY_PERCENT: u32 = 20;
+/// Default retries that the fleet may add in a window.
+const RETRY_SLACK: u32 = 20;
+/// Default window over which retries are counted, in milliseconds.
+const RETRY_WINDOW_MS: u64 = 10_000;
+/// Largest processor share, in thousandths of a core.
+const CAPACITY_MAX_PERMILLE: u32 = 1_000_000;
 /// Shortest token, in characters.
 const TOKEN_MIN_CHARS: usize = 8;
 
@@ -50,7 +61,7 @@
 }
 
 /// Checked settings of one instance.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
     /// Unique name of this instance.
     pub instance: String,
@@ -76,11 +87,70 @@
     pub snapshot_interval_ms: u64,
     /// Time between readiness going false and the listener closing, in milliseconds.
     pub drain_ms: u64,
+    /// Whether the platform keeps lists in a store, rather than records in a log.
+    pub uses_store: bool,
+    /// Region of each data centre.
+    pub regions: HashMap<String, String>,
+    /// Processor share of this instance, in thousandths of a core.
+    pub capacity_permille: u32,
+    /// Longest time from the signal to stop to the end, in milliseconds.
+    pub stop_ms: u64,
+    /// Retries of a service as a share of its requests, in percent, where the platform does not say.
+    pub retry_percent: u32,
+    /// Retries of a service that the whole fleet may add in a window.
+    pub retry_slack: u32,
+    /// Window over which retries are counted, in milliseconds.
+    pub retry_window_ms: u64,
     /// Least level that is logged.
     pub log_level: log::LevelFilter,
 }
 
 impl Settings {
+    /// Creates settings with the defaults; all three servers listen on `address`.
+    pub fn new(
+        instance: &str,
+        data_centre: &str,
+        address: SocketAddr,
+        platform_address: SocketAddr,
+    ) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            data_centre: data_centre.to_owned(),
+            caller_address: address,
+            rpc_address: address,
+            admin_address: address,
+            platform_address,
+            principals: Vec::new(),
+            uses_permits: true,
+            worker_threads: WORKER_THREADS,
+            claim_window_ms: CLAIM_WINDOW_MS,
+            snapshot_interval_ms: SNAPSHOT_INTERVAL_MS,
+            drain_ms: DRAIN_MS,
+            uses_store: false,
+            regions: HashMap::new(),
+            capacity_permille: CAPACITY_PERMILLE,
+            stop_ms: STOP_MS,
+            retry_percent: RETRY_PERCENT,
+            retry_slack: RETRY_SLACK,
+            retry_window_ms: RETRY_WINDOW_MS,
+            log_level: log::LevelFilter::Info,
+        }
+    }
+
+    /// Returns the region of this instance.
+    pub fn region(&self) -> &str {
+        let region = self.regions.get(&self.data_centre);
+        region.map_or(&self.data_centre, |region| region)
+    }
+
+    /// Returns these settings without what a running process takes over.
+    pub(crate) fn for_next_start(&self) -> Self {
+        Self {
+            log_level: log::LevelFilter::Off,
+            ..self.clone()
+        }
+    }
+
     /// Reads and checks settings.
     ///
     /// # Errors
@@ -101,6 +171,17 @@
             drain_ms: text.drain_ms.unwrap_or(DRAIN_MS),
             log_level: check.level(text.log_level.as_deref().unwrap_or("info")),
             principals: text.principals.iter().map(principal).collect(),
+            uses_store: text.platform == Some(PlatformText::Store),
+            regions: text.regions,
+            capacity_permille: text.processor_share.map_or(CAPACITY_PERMILLE, thousandths),
+            stop_ms: text.stop_s.map_or(STOP_MS, |s| u64::from(thousandths(s))),
+            retry_percent: text
+                .retry_share
+                .map_or(RETRY_PERCENT, |share| thousandths(share) / 10),
+            retry_slack: text.retry_slack.unwrap_or(RETRY_SLACK),
+            retry_window_ms: text
+                .retry_window_s
+                .map_or(RETRY_WINDOW_MS, |s| u64::from(thousandths(s))),
             instance: text.instance,
             data_centre: text.data_centre,
         };
@@ -116,6 +197,11 @@
     }
 }
 
+/// Turns a number into thousandths of it; what does not fit is caught by the check of the field.
+fn thousandths(number: f64) -> u32 {
+    (number * 1_000.0).round() as u32
+}
+
 fn principal(text: &PrincipalText) -> Principal {
     Principal {
         name: text.name.clone(),
@@ -188,6 +274,26 @@
             "$.snapshot_interval_ms",
             "expected more than 0",
         );
+        self.require(
+            (1..=CAPACITY_MAX_PERMILLE).contains(&settings.capacity_permille),
+            "$.processor_share",
+            "expected above 0 to 1000",
+        );
+        self.require(
+            settings.drain_ms <= settings.stop_ms,
+            "$.drain_ms",
+            "expected at most stop_s",
+        );
+        self.require(
+            settings.retry_percent <= 100,
+            "$.retry_share",
+            "expected 0 to 1",
+        );
+        self.require(
+            (1_000..=60_000).contains(&settings.retry_window_ms),
+            "$.retry_window_s",
+            "expected 1 to 60",
+        );
         for (index, principal) in settings.principals.iter().enumerate() {
             let path = format!("$.principals[{index}]");
             let long = principal.token.chars().count() >= TOKEN_MIN_CHARS;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -18,8 +18,8 @@
     wire::{
         convert,
         generated::{
-            ConfigKind, ConfigRecord, DetectionText, DocumentText, ListedInstance, ListedServer,
-            MemberList, PresenceText, RouteText, ServiceText,
+            ConfigKind, ConfigRecord, DetectionText, DocumentText, KindText, ListedInstance,
+            ListedServer, MemberList, PresenceText, RouteText, ServiceText,
         },
         to_text,
     },
@@ -178,6 +178,9 @@
             data_centre: "a".into(),
             rpc_address: process.rpc.to_string(),
             presence: PresenceText::Live,
+            region: None,
+            capacity_permille: None,
+            incarnation: None,
         });
         let servers = self
             .backends
@@ -190,6 +193,10 @@
                 address: backend.address.to_string(),
                 slots: 4,
                 presence: PresenceText::Live,
+                region: None,
+                born_ms: None,
+                sequence: None,
+                cold_ms: None,
             });
         self.platform.list(MemberList {
             version: 0,
@@ -225,13 +232,20 @@
 
 /// The document under test.
 pub(crate) fn document(deadline_ms: u64) -> DocumentText {
-    let route = |methods: &[&str], idempotent| RouteText {
+    let route = |methods: &[&str], kind| RouteText {
         prefix: "/orders".into(),
         methods: methods.iter().map(|&method| method.into()).collect(),
-        service: "orders".into(),
-        idempotent,
+        service: Some("orders".into()),
+        kind,
+        host: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        target_ms: None,
+        priority: None,
+        attempts_max: None,
     };
     DocumentText {
+        limits: None,
         services: vec![ServiceText {
             name: "orders".into(),
             detection: DetectionText::Fast,
@@ -241,7 +255,10 @@
             max_body_bytes: 1 << 20,
             hold_bytes: 1 << 16,
         }],
-        routes: vec![route(&["GET"], true), route(&["POST"], false)],
+        routes: vec![
+            route(&["GET"], KindText::Safe),
+            route(&["POST"], KindText::Unsafe),
+        ],
     }
 }
 
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full},
     hyper::{
-        header::{HeaderName, HeaderValue, CONTENT_TYPE},
+        header::{HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER},
         HeaderMap, Response, StatusCode,
     },
     std::{convert::Infallible, io},
@@ -20,6 +20,9 @@
 /// Header that carries the result code.
 const CODE_HEADER: HeaderName = HeaderName::from_static("catkinhitch-code");
 
+/// Time after which a refused caller may try again where nothing better is known, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
 /// A whole answer that can be given more than once.
 #[derive(Clone, Debug)]
 pub struct StoredAnswer {
@@ -45,16 +48,30 @@
 pub enum Answer {
     /// A backend server's answer.
     Passed(BodyKind),
-    /// An answer of catkinhitch's own.
-    Own(ResultCode),
+    /// An answer of catkinhitch's own, with the time after which the caller may try again, in milliseconds.
+    Own(ResultCode, Option<u64>),
 }
 
 impl Answer {
+    /// Makes an answer of catkinhitch's own without a time for another try.
+    pub fn own(code: ResultCode) -> Self {
+        Self::Own(code, None)
+    }
+
+    /// Returns the HTTP status that the caller gets.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Passed(BodyKind::Held(stored)) => stored.status.as_u16(),
+            Self::Passed(BodyKind::Streamed(response)) => response.status().as_u16(),
+            Self::Own(code, _) => code.http_status(),
+        }
+    }
+
     /// Returns the result code.
     pub fn code(&self) -> ResultCode {
         match self {
             Self::Passed(_) => ResultCode::Answered,
-            Self::Own(code) => *code,
+            Self::Own(code, _) => *code,
         }
     }
 
@@ -68,7 +85,7 @@
                 mark(response, ResultCode::Answered)
             }
             Self::Passed(BodyKind::Streamed(response)) => mark(*response, ResultCode::Answered),
-            Self::Own(code) => own(code),
+            Self::Own(code, retry_after_ms) => own(code, retry_after_ms),
         }
     }
 }
@@ -79,7 +96,7 @@
         .boxed_unsync()
 }
 
-fn own(code: ResultCode) -> Response<BoxedBody> {
+fn own(code: ResultCode, retry_after_ms: Option<u64>) -> Response<BoxedBody> {
     let text = ResultText {
         code: code.number().into(),
         outcome: code.run_state().as_str().to_owned(),
@@ -90,14 +107,24 @@
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     if code.http_status() == 503 {
-        let second = HeaderValue::from_static("1");
-        response
-            .headers_mut()
-            .insert(hyper::header::RETRY_AFTER, second);
+        let after_ms = retry_after_ms.unwrap_or(RETRY_AFTER_MS);
+        let after = HeaderValue::from_str(&seconds_text(after_ms));
+        if let Ok(after) = after {
+            response.headers_mut().insert(RETRY_AFTER, after);
+        }
     }
     mark(response, code)
 }
 
+/// Writes a time in seconds, with a fraction only if there is one.
+fn seconds_text(ms: u64) -> String {
+    if ms.is_multiple_of(1_000) {
+        (ms / 1_000).to_string()
+    } else {
+        format!("{}.{:03}", ms / 1_000, ms % 1_000)
+    }
+}
+
 fn mark(mut response: Response<BoxedBody>, code: ResultCode) -> Response<BoxedBody> {
     let headers = response.headers_mut();
     let outcome = HeaderValue::from_static(code.run_state().as_str());
--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -6,9 +6,5 @@
 mod keyed;
 mod permit;
 mod run;
-mod spend;
 
-pub use self::{
-    run::run,
-    spend::{earn, spend},
-};
+pub use self::run::run;
--- a/crates/entry/src/commands/attempts.rs
+++ b/crates/entry/src/commands/attempts.rs
@@ -1,14 +1,14 @@
 //! The attempts of one request: first try, retries, hedges, and which answer counts.
 //!
 //! Invariants: a request that is not idempotent has at most one attempt whose end is not proved not run; the
-//! caller gets the first answer that counts and every other attempt is dropped, which closes its connection.
+//! caller gets the first answer that counts and every other attempt is dropped, which closes its connection;
+//! every attempt after the first that was sent is granted by whoever grants slots, out of the retry budget.
 
 use {
     crate::{
         commands::{
-            exchange::{exchange, End, Job, Turn},
+            exchange::{exchange, End, Job},
             permit::Permit,
-            spend,
         },
         AcquireAsk, Answer, BodyKind, Grant, Refused, StoredAnswer,
     },
@@ -18,19 +18,18 @@
     },
     log::info,
     std::{
-        sync::Arc,
+        sync::{atomic::Ordering, Arc},
         time::{Duration, Instant},
     },
     tokio::time::{sleep, sleep_until},
-    types::{hash_of, ResultCode},
+    types::ResultCode,
     wire::{generated::RoutingDecision, to_text},
 };
 
-/// Most attempts of one request, hedges included.
-const ATTEMPTS_MAX: u32 = 4;
+/// Slots asked for on behalf of one request beyond its attempts, for servers that could not be reached.
+const UNREACHED_MAX: u32 = 3;
 /// First pause before a retry, in milliseconds; doubles, with jitter.
 const BACKOFF_FIRST_MS: u64 = 2;
-
 /// Share of the time left after which a request is hedged if the usual time is not known: one in this many.
 const UNKNOWN_HEDGE_SHARE: u64 = 4;
 
@@ -43,14 +42,20 @@
 struct Race {
     job: Job,
     running: FuturesUnordered<BoxFuture<'static, Event>>,
+    /// Permits of the exchanges in flight.
+    in_flight: Vec<Arc<Permit>>,
+    /// Servers that are not to be tried again.
     tried: Vec<String>,
-    attempts: u32,
+    asked: u32,
+    sent: u32,
+    /// Exchanges that may have run, those in flight included.
     exchanges: u32,
     may_have_run: bool,
-    not_run: ResultCode,
+    not_run: Refused,
     last_error: Option<StoredAnswer>,
     hedge: Option<Hedge>,
-    fresh_tried: bool,
+    /// Whether only new connections are used, since one that was open before went silent.
+    fresh_only: bool,
 }
 
 /// When and how the attempt in flight is to be hedged.
@@ -90,24 +95,30 @@
         Self {
             job,
             running: FuturesUnordered::new(),
+            in_flight: Vec::new(),
             tried: Vec::new(),
-            attempts: 0,
+            asked: 0,
+            sent: 0,
             exchanges: 0,
             may_have_run: false,
-            not_run: ResultCode::NoServer,
+            not_run: Refused::new(ResultCode::NoServer),
             last_error: None,
             hedge: None,
-            fresh_tried: false,
+            fresh_only: false,
         }
     }
 
     /// Starts to acquire a slot for another attempt.
     fn launch(&mut self, reason: &'static str, pause: Duration) {
-        self.attempts += 1;
+        self.asked += 1;
+        let plan = &self.job.plan;
         let ask = AcquireAsk {
-            service: self.job.plan.service.clone(),
-            idempotent: self.job.plan.idempotent,
-            deadline: self.job.plan.deadline,
+            service: plan.service.clone(),
+            idempotent: plan.idempotent,
+            deadline: plan.deadline,
+            target: plan.target,
+            priority: plan.priority,
+            sent: self.sent,
             exclude: self.tried.clone(),
         };
         let path = Arc::clone(&self.job.path);
@@ -124,42 +135,51 @@
             Event::Granted(Ok(grant), reason) => self.begin(grant, reason),
             Event::Granted(Err(refused), reason) => {
                 self.note(None, reason);
-                self.not_run = refused.code;
+                if refused.code == ResultCode::RetryBudgetSpent {
+                    (self.job.path.note_retry)(&self.job.plan.service, false);
+                }
+                self.not_run = refused;
                 self.finish_if_idle()
             }
-            Event::Ended(permit, end) => self.end(&permit, end),
+            Event::Ended(permit, end) => {
+                self.in_flight.retain(|other| !Arc::ptr_eq(other, &permit));
+                self.end(&permit, end)
+            }
         }
     }
 
-    /// Begins the exchange that a slot was given for, unless this process was paused past the deadline: by
-    /// then a claim of the key may have lapsed.
+    /// Begins the exchange that a slot was given for, unless this process was paused past the deadline (by
+    /// then a claim of the key may have lapsed) or the caller has left.
     fn begin(&mut self, grant: Grant, reason: &'static str) -> Option<Answer> {
         self.note(Some(&grant), reason);
-        self.tried.push(grant.server.clone());
+        self.job.trace.granted();
         let permit = Arc::new(Permit::new(Arc::clone(&self.job.path), grant));
         if Instant::now() >= self.job.plan.deadline {
             return Some(self.expired());
         }
-        // A fresh connection costs one round trip and can't have gone silent before the first byte. Once one
-        // connection of this request went silent, others may have too.
-        let turn = if self.job.plan.idempotent && !self.fresh_tried {
-            Turn::First
-        } else {
-            Turn::FirstFresh
-        };
-        self.push_exchange(&permit, turn);
-        self.plan_hedge(permit);
-        None
-    }
-
-    fn push_exchange(&mut self, permit: &Arc<Permit>, turn: Turn) {
+        // A claimed key has its answer kept for a repeat, so its request runs all the same.
+        let is_keyed = self.job.plan.key.is_some();
+        if !is_keyed && self.job.caller_left.load(Ordering::SeqCst) {
+            return Some(Answer::own(ResultCode::CallerLeft));
+        }
+        if self.sent > 0 {
+            (self.job.path.note_retry)(&self.job.plan.service, true);
+        }
+        self.sent += 1;
         self.exchanges += 1;
+        self.job.trace.sent(&permit.grant().server);
+        self.tried.push(permit.grant().server.clone());
+        self.in_flight.push(Arc::clone(&permit));
+        // A new connection costs one round trip and can't have gone silent before the first byte.
+        let may_reuse = self.job.plan.idempotent && !self.fresh_only;
         let job = self.job.clone();
-        let permit = Arc::clone(permit);
+        let for_exchange = Arc::clone(&permit);
         self.running.push(Box::pin(async move {
-            let end = exchange(&job, &permit, turn).await;
-            Event::Ended(permit, end)
+            let end = exchange(&job, &for_exchange, may_reuse).await;
+            Event::Ended(for_exchange, end)
         }));
+        self.plan_hedge(permit);
+        None
     }
 
     fn plan_hedge(&mut self, permit: Arc<Permit>) {
@@ -167,7 +187,7 @@
             0 => self.unknown_hedge_ms(),
             known_ms => known_ms,
         };
-        let may_hedge = self.job.plan.idempotent && self.job.body.can_send();
+        let may_hedge = self.job.plan.idempotent && self.job.body.can_send() && self.may_ask();
         self.hedge = may_hedge.then(|| Hedge {
             at: Instant::now() + Duration::from_millis(after_ms),
             permit,
@@ -184,55 +204,79 @@
         left.as_millis() as u64 / UNKNOWN_HEDGE_SHARE
     }
 
-    /// First the same server over a new connection, in case the old one went silent; then another server.
+    /// Another server first; if the silent exchange went over a connection that was open before, the same server
+    /// may be given it too, over a new one.
     fn hedge(&mut self) {
         let Some(hedge) = self.hedge.take() else {
             return;
         };
-        if !std::mem::replace(&mut self.fresh_tried, true) {
-            let address = hedge.permit.grant().address;
-            self.job
-                .path
-                .connections
-                .close_older(address, Instant::now());
-            self.push_exchange(&hedge.permit, Turn::Second);
-            self.plan_hedge(hedge.permit);
-        } else if self.may_launch() {
+        if hedge.permit.is_reused() && !self.fresh_only {
+            self.distrust_connections(&hedge.permit);
+        }
+        if self.may_ask() {
             self.launch("hedge", Duration::ZERO);
         }
     }
 
-    fn end(&mut self, permit: &Arc<Permit>, end: End) -> Option<Answer> {
+    /// Closes the idle connections to the permit's server that may have gone silent as well, and lets the server
+    /// be tried again over a new one.
+    fn distrust_connections(&mut self, permit: &Permit) {
+        let grant = permit.grant();
+        self.fresh_only = true;
+        self.tried.retain(|server| *server != grant.server);
+        let connections = &self.job.path.connections;
+        connections.close_older(grant.address, Instant::now());
+    }
+
+    fn end(&mut self, permit: &Permit, end: End) -> Option<Answer> {
         match end {
             End::Whole(stored) if stored.status.is_server_error() => {
                 self.may_have_run = true;
                 self.last_error = Some(stored);
                 self.retry_repeatable("retry after error")
             }
-            End::Whole(stored) => Some(Answer::Passed(BodyKind::Held(stored))),
-            End::Streamed(response) => Some(Answer::Passed(BodyKind::Streamed(response))),
-            End::BodyCut => Some(Answer::Own(ResultCode::BodyCut)),
-            End::Refused => self.retry_not_run(ResultCode::NoServer, "retry after refusal"),
+            End::Whole(stored) => {
+                self.clear_server(permit);
+                Some(Answer::Passed(BodyKind::Held(stored)))
+            }
+            End::Streamed(response) => {
+                self.clear_server(permit);
+                Some(Answer::Passed(BodyKind::Streamed(response)))
+            }
+            End::BodyCut => Some(Answer::own(ResultCode::BodyCut)),
+            End::Refused => {
+                // Nothing was sent, so this was no attempt at a server.
+                self.sent = self.sent.saturating_sub(1);
+                self.retry_not_run(ResultCode::NoServer, "retry after refusal")
+            }
             End::Shed => self.retry_not_run(ResultCode::Overloaded, "retry after shed"),
-            End::Unknown { silent: true } if self.may_try_fresh() => {
-                self.fresh_tried = true;
-                self.may_have_run = true;
-                self.push_exchange(permit, Turn::Second);
-                None
+            End::Misdirected => {
+                self.retry_not_run(ResultCode::NoServer, "retry after another server answered")
             }
-            End::Unknown { .. } => {
+            End::Unknown { silent } => {
                 self.may_have_run = true;
+                if silent && self.job.plan.idempotent {
+                    self.distrust_connections(permit);
+                }
                 self.retry_repeatable("retry after cut")
             }
         }
     }
 
-    fn may_try_fresh(&self) -> bool {
-        self.job.plan.idempotent && !self.fresh_tried && self.job.body.can_send()
+    /// A server that answered over a new connection is not to blame for an older one that went silent.
+    fn clear_server(&self, permit: &Permit) {
+        let server = &permit.grant().server;
+        let others = self
+            .in_flight
+            .iter()
+            .filter(|other| other.grant().server == *server);
+        for other in others {
+            other.clear();
+        }
     }
 
     fn retry_repeatable(&mut self, reason: &'static str) -> Option<Answer> {
-        if self.job.plan.idempotent && self.may_launch() {
+        if self.job.plan.idempotent && self.may_ask() {
             self.launch(reason, self.backoff());
             return None;
         }
@@ -241,8 +285,8 @@
 
     fn retry_not_run(&mut self, code: ResultCode, reason: &'static str) -> Option<Answer> {
         self.exchanges -= 1;
-        self.not_run = code;
-        if self.may_launch() {
+        self.not_run = Refused::new(code);
+        if self.may_ask() {
             self.launch(reason, self.backoff());
             return None;
         }
@@ -250,27 +294,16 @@
     }
 
     fn backoff(&self) -> Duration {
-        let most_ms = BACKOFF_FIRST_MS << self.attempts;
+        let most_ms = BACKOFF_FIRST_MS << self.asked.min(8);
         Duration::from_micros(fastrand::u64(0..most_ms * 1_000))
     }
 
-    /// Tells whether another attempt may start, and spends it from the budget.
-    fn may_launch(&mut self) -> bool {
-        if self.attempts >= ATTEMPTS_MAX || !self.job.body.can_send() {
-            return false;
-        }
-        let service = &self.job.plan.service;
-        let now_ms = self.job.path.now_ms();
-        let allowed = self.job.path.budgets.with(hash_of(service), |budgets| {
-            budgets
-                .get_mut(service)
-                .is_some_and(|budget| spend(budget, now_ms))
-        });
-        (self.job.path.note_retry)(service, allowed);
-        if !allowed {
-            self.not_run = ResultCode::RetryBudgetSpent;
-        }
-        allowed
+    /// Tells whether another attempt may be asked for.
+    fn may_ask(&self) -> bool {
+        let attempts_max = self.job.plan.attempts_max;
+        self.sent < attempts_max
+            && self.asked < attempts_max + UNREACHED_MAX
+            && self.job.body.can_send()
     }
 
     fn finish_if_idle(&mut self) -> Option<Answer> {
@@ -280,15 +313,18 @@
         if let Some(stored) = self.last_error.take() {
             return Some(Answer::Passed(BodyKind::Held(stored)));
         }
-        Some(Answer::Own(if self.may_have_run {
-            ResultCode::OutcomeUnknown
+        Some(if self.may_have_run {
+            Answer::own(ResultCode::OutcomeUnknown)
         } else {
-            self.not_run
-        }))
+            Answer::Own(self.not_run.code, self.not_run.retry_after_ms)
+        })
     }
 
     fn expired(&mut self) -> Answer {
-        Answer::Own(if self.may_have_run || self.exchanges > 0 {
+        if let Some(stored) = self.last_error.take() {
+            return Answer::Passed(BodyKind::Held(stored));
+        }
+        Answer::own(if self.may_have_run || self.exchanges > 0 {
             ResultCode::DeadlineUnknown
         } else {
             ResultCode::DeadlineNotRun
@@ -299,7 +335,7 @@
         let decision = RoutingDecision {
             request: self.job.plan.request_id.clone(),
             service: self.job.plan.service.clone(),
-            attempt: self.attempts,
+            attempt: self.asked,
             server: grant.map_or_else(String::new, |grant| grant.server.clone()),
             reason: reason.to_owned(),
             evidence: grant.map_or("no slot", |grant| grant.reason).to_owned(),
--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -6,31 +6,28 @@
     crate::{
         commands::permit::{Finding, Permit},
         connections::connect,
-        queries, Body, BoxedBody, Connection, Evidence, Head, Path, Plan, StoredAnswer,
+        queries,
+        trace::Trace,
+        Body, BoxedBody, Connection, Evidence, Head, Path, Plan, StoredAnswer,
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
     http_body_util::{BodyExt, Full, StreamBody},
     hyper::{
         body::{Body as _, Frame, Incoming},
-        header::{HeaderMap, TRANSFER_ENCODING},
-        Method, Request, Response, StatusCode, Uri, Version,
+        Request, Response, StatusCode, Uri,
     },
     std::{
         convert::Infallible,
         io,
-        sync::{atomic::Ordering, Arc},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
         time::Instant,
     },
 };
 
-/// Header by which a backend server says that it did not run the request.
-const SHED_HEADER: &str = "x-request-shed";
-/// Header by which a backend server says that it leaves.
-const DRAINING_HEADER: &str = "x-draining";
-/// Header that a backend server echoes.
-const REQUEST_ID_HEADER: &str = "x-request-id";
-
 /// How an exchange ended.
 #[derive(Debug)]
 pub(crate) enum End {
@@ -40,8 +37,10 @@
     Streamed(Box<Response<BoxedBody>>),
     /// Proved not run: no connection.
     Refused,
-    /// Proved not run: the server shed it.
+    /// Proved not run: the server said so.
     Shed,
+    /// Proved not run: another server has the address.
+    Misdirected,
     /// May have run. `silent` if a connection used before gave no byte.
     Unknown {
         /// Whether the connection rather than the server is to blame.
@@ -58,42 +57,36 @@
     pub(crate) plan: Arc<Plan>,
     pub(crate) head: Arc<Head>,
     pub(crate) body: Body,
+    pub(crate) trace: Trace,
+    /// Set once the caller is known to have left.
+    pub(crate) caller_left: Arc<AtomicBool>,
 }
 
-/// Which exchange under one permit this is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Turn {
-    /// The first, over an idle connection if there is one.
-    First,
-    /// The first, over a new connection.
-    FirstFresh,
-    /// A second try over a new connection while the first may still be in flight, so that a refusal must
-    /// not release the permit.
-    Second,
-}
-
-/// Runs the request at the permit's server.
-pub(crate) async fn exchange(job: &Job, permit: &Arc<Permit>, turn: Turn) -> End {
+/// Runs the request at the permit's server, over an idle connection if there is one and it may be reused.
+pub(crate) async fn exchange(job: &Job, permit: &Arc<Permit>, may_reuse: bool) -> End {
     let address = permit.grant().address;
-    let idle = match turn {
-        Turn::First => job.path.connections.take_idle(address),
-        Turn::FirstFresh | Turn::Second => None,
-    };
+    let idle = may_reuse
+        .then(|| job.path.connections.take_idle(address))
+        .flatten();
     let connection = match idle {
-        Some(connection) => connection,
+        Some(connection) => {
+            permit.set_reused();
+            connection
+        }
         None => match connect(address).await {
             Ok(connection) => connection,
             Err(_) => {
-                settle_refusal(permit, turn, failed(Evidence::Failed));
+                permit.settle(Finding::new(Evidence::Unreachable));
                 return End::Refused;
             }
         },
     };
     let Some(body) = payload(&job.body) else {
         // Another attempt took the body, so this one wrote nothing.
+        permit.clear();
         return End::Refused;
     };
-    send(job, permit, turn, connection, body).await
+    send(job, permit, connection, body).await
 }
 
 fn payload(body: &Body) -> Option<BoxedBody> {
@@ -107,13 +100,7 @@
     }
 }
 
-async fn send(
-    job: &Job,
-    permit: &Arc<Permit>,
-    turn: Turn,
-    mut connection: Connection,
-    body: BoxedBody,
-) -> End {
+async fn send(job: &Job, permit: &Arc<Permit>, mut connection: Connection, body: BoxedBody) -> End {
     let started = Instant::now();
     let request = request(job, permit, body);
     let answer = match connection.sender.send_request(request).await {
@@ -121,25 +108,35 @@
         Err(_) => return no_answer(job, permit, connection.reused),
     };
     let first_byte_us = started.elapsed().as_micros() as u64;
-    let draining = has(answer.headers(), DRAINING_HEADER);
-    if answer.status() == StatusCode::SERVICE_UNAVAILABLE && has(answer.headers(), SHED_HEADER) {
-        let finding = Finding {
-            draining,
-            ..failed(Evidence::Shed)
-        };
-        settle_refusal(permit, turn, finding);
-        return End::Shed;
-    }
-    if !is_own(&answer, &job.plan.request_id) || !is_measured(&answer, &job.head.method) {
-        permit.settle(failed(Evidence::Failed));
-        return End::Unknown { silent: false };
-    }
-    let finding = Finding {
-        evidence: evidence_of(answer.status()),
+    let names = &job.path.names;
+    let draining = names
+        .draining
+        .as_ref()
+        .is_some_and(|name| answer.headers().get(name).is_some_and(|v| v == "true"));
+    let finding = |evidence| Finding {
+        evidence,
         first_byte_us,
         whole_us: 0,
         draining,
     };
+    if names.server.is_some() && answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        permit.settle(finding(Evidence::Misdirected));
+        return End::Misdirected;
+    }
+    if answer.headers().contains_key(&names.not_run) {
+        permit.settle(finding(Evidence::Shed));
+        return End::Shed;
+    }
+    // Only the mark proves that the request was not run, so such a status without it must not reach the caller.
+    let false_promise = names.status_promises && queries::promises_not_run(answer.status());
+    if false_promise
+        || !queries::is_own_answer(&answer, names, &job.plan.request_id)
+        || !queries::is_measured(&answer, names, &job.head.method)
+    {
+        permit.settle(Finding::new(Evidence::Failed));
+        return End::Unknown { silent: false };
+    }
+    let finding = finding(evidence_of(answer.status()));
     receive(job, permit, connection, answer, finding, started).await
 }
 
@@ -154,21 +151,27 @@
     *request.method_mut() = job.head.method.clone();
     // The path came in as a valid URI.
     *request.uri_mut() = path.parse::<Uri>().unwrap_or_default();
-    *request.headers_mut() = queries::pass_on(&job.head, &job.plan, &authority);
+    *request.headers_mut() = queries::pass_on(
+        &job.head,
+        &job.plan,
+        &job.path.names,
+        permit.grant(),
+        &authority,
+    );
     request
 }
 
 fn no_answer(job: &Job, permit: &Permit, reused: bool) -> End {
     if let Body::Once(once) = &job.body {
         if once.caller_cut.load(Ordering::SeqCst) {
-            permit.settle(failed(Evidence::Nothing));
+            permit.settle(Finding::new(Evidence::Nothing));
             return End::BodyCut;
         }
     }
     if reused {
         return End::Unknown { silent: true };
     }
-    permit.settle(failed(Evidence::Failed));
+    permit.settle(Finding::new(Evidence::Failed));
     End::Unknown { silent: false }
 }
 
@@ -238,7 +241,7 @@
                 }
                 Some(Err(error)) => {
                     self.connection = None;
-                    self.permit.settle(failed(Evidence::Failed));
+                    self.permit.settle(Finding::new(Evidence::Failed));
                     return Err(io::Error::other(error));
                 }
                 None => {
@@ -272,45 +275,11 @@
     }
 }
 
-fn settle_refusal(permit: &Permit, turn: Turn, finding: Finding) {
-    if turn != Turn::Second {
-        permit.settle(finding);
-    }
-}
-
-fn failed(evidence: Evidence) -> Finding {
-    Finding {
-        evidence,
-        first_byte_us: 0,
-        whole_us: 0,
-        draining: false,
-    }
-}
-
+/// A server's own error or missed deadline, and a refusal without the mark that it was not run, speak against it.
 fn evidence_of(status: StatusCode) -> Evidence {
-    if status.is_server_error() {
-        Evidence::Failed
-    } else {
-        Evidence::Whole
+    match status {
+        StatusCode::GATEWAY_TIMEOUT => Evidence::Overdue,
+        status if status.is_server_error() => Evidence::Failed,
+        _ => Evidence::Whole,
     }
 }
-
-fn has(headers: &HeaderMap, name: &str) -> bool {
-    headers.get(name).is_some_and(|value| value == "true")
-}
-
-/// A server that echoes the request's id proves whose answer it is.
-fn is_own(answer: &Response<Incoming>, request_id: &str) -> bool {
-    let echo = answer.headers().get(REQUEST_ID_HEADER);
-    echo.is_none_or(|echo| echo == request_id)
-}
-
-/// An answer that only the end of its connection delimits can't be told from a cut one.
-fn is_measured(answer: &Response<Incoming>, method: &Method) -> bool {
-    let chunked = answer.headers().contains_key(TRANSFER_ENCODING);
-    let bodiless = *method == Method::HEAD
-        || answer.status() == StatusCode::NO_CONTENT
-        || answer.status() == StatusCode::NOT_MODIFIED;
-    let exact = answer.body().size_hint().exact().is_some();
-    bodiless || exact || (chunked && answer.version() == Version::HTTP_11)
-}
--- a/crates/entry/src/commands/intake.rs
+++ b/crates/entry/src/commands/intake.rs
@@ -18,8 +18,9 @@
     types::ResultCode,
 };
 
-/// Largest request body that is held, in bytes.
-const HELD_UPLOAD_BYTES: u64 = 256 * 1024;
+/// Largest request body that is held, in bytes; a held one takes no slot while its caller sends it, and a hundred
+/// of them fit in a quarter of the smallest instance's memory.
+const HELD_UPLOAD_BYTES: u64 = 512 * 1024;
 /// Time without a byte after which a caller's body counts as cut, in milliseconds.
 const SILENT_CALLER_MS: u64 = 10_000;
 
@@ -35,18 +36,28 @@
 ) -> Result<Body, ResultCode> {
     match length_bytes {
         Some(0) => Ok(Body::Held(Bytes::new())),
-        Some(bytes) if bytes <= HELD_UPLOAD_BYTES => hold(body).await,
-        _ => Ok(Body::Once(watched(body, plan.max_body_bytes))),
+        Some(bytes) if bytes > HELD_UPLOAD_BYTES => {
+            Ok(Body::Once(watched(body, Bytes::new(), plan.max_body_bytes)))
+        }
+        _ => hold(plan, body).await,
     }
 }
 
-async fn hold(mut body: BoxedBody) -> Result<Body, ResultCode> {
+/// Holds a body; one without a length that turns out long is streamed, what was read of it first.
+async fn hold(plan: &Plan, mut body: BoxedBody) -> Result<Body, ResultCode> {
     let mut held = BytesMut::new();
     while let Some(data) = next_data(&mut body)
         .await
         .map_err(|_| ResultCode::BadRequest)?
     {
         held.extend_from_slice(&data);
+        if held.len() as u64 > plan.max_body_bytes {
+            return Err(ResultCode::BodyTooLarge);
+        }
+        if held.len() as u64 > HELD_UPLOAD_BYTES {
+            let body = watched(body, held.freeze(), plan.max_body_bytes);
+            return Ok(Body::Once(body));
+        }
     }
     Ok(Body::Held(held.freeze()))
 }
@@ -66,19 +77,25 @@
     }
 }
 
-/// Streams a body that ends in an error when it is silent or larger than `max_bytes`.
-fn watched(body: BoxedBody, max_bytes: u64) -> OnceBody {
+/// Streams `first` and then a body, which ends in an error when it is silent or larger than `max_bytes`.
+fn watched(body: BoxedBody, first: Bytes, max_bytes: u64) -> OnceBody {
     let caller_cut = Arc::new(AtomicBool::new(false));
     let flag = Arc::clone(&caller_cut);
-    let frames = stream::try_unfold((body, 0_u64), move |(mut body, seen_bytes)| async move {
-        let Some(data) = next_data(&mut body).await? else {
-            return Ok(None);
+    let first = Some(first).filter(|first| !first.is_empty());
+    let start = (body, first, 0_u64);
+    let frames = stream::try_unfold(start, move |(mut body, first, seen_bytes)| async move {
+        let data = match first {
+            Some(first) => first,
+            None => match next_data(&mut body).await? {
+                Some(data) => data,
+                None => return Ok(None),
+            },
         };
         let seen_bytes = seen_bytes + data.len() as u64;
         if seen_bytes > max_bytes {
             return Err(io::Error::from(io::ErrorKind::FileTooLarge));
         }
-        Ok(Some((Frame::data(data), (body, seen_bytes))))
+        Ok(Some((Frame::data(data), (body, None, seen_bytes))))
     });
     let frames = frames.inspect_err(move |_: &io::Error| flag.store(true, Ordering::SeqCst));
     OnceBody {
--- a/crates/entry/src/commands/keyed.rs
+++ b/crates/entry/src/commands/keyed.rs
@@ -16,7 +16,7 @@
     let nonce = match claim.await {
         ClaimEnd::Dispatch(nonce) => nonce,
         ClaimEnd::Stored(stored) => return Answer::Passed(BodyKind::Held(stored)),
-        ClaimEnd::Refused(code) => return Answer::Own(code),
+        ClaimEnd::Refused(code) => return Answer::own(code),
     };
     let answer = attempts(job).await;
     (path.claims.settle)(key.digest, nonce, settlement(&answer));
@@ -26,7 +26,7 @@
 fn settlement(answer: &Answer) -> Settlement {
     match answer {
         Answer::Passed(BodyKind::Held(stored)) => Settlement::Done(stored.clone()),
-        Answer::Own(code) if code.run_state() == RunState::NotRun => Settlement::NotRun,
-        Answer::Passed(BodyKind::Streamed(_)) | Answer::Own(_) => Settlement::Doubtful,
+        Answer::Own(code, _) if code.run_state() == RunState::NotRun => Settlement::NotRun,
+        Answer::Passed(BodyKind::Streamed(_)) | Answer::Own(..) => Settlement::Doubtful,
     }
 }
--- a/crates/entry/src/commands/permit.rs
+++ b/crates/entry/src/commands/permit.rs
@@ -3,7 +3,10 @@
 use {
     crate::{Evidence, Grant, Path, Release},
     std::{
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc, Mutex, PoisonError,
+        },
         time::{Duration, Instant},
     },
 };
@@ -14,6 +17,7 @@
     grant: Grant,
     taken: Instant,
     settled: Mutex<bool>,
+    reused: AtomicBool,
 }
 
 /// What an exchange found out about its server.
@@ -25,6 +29,18 @@
     pub(crate) draining: bool,
 }
 
+impl Finding {
+    /// Evidence without a time.
+    pub(crate) fn new(evidence: Evidence) -> Self {
+        Self {
+            evidence,
+            first_byte_us: 0,
+            whole_us: 0,
+            draining: false,
+        }
+    }
+}
+
 impl Permit {
     pub(crate) fn new(path: Arc<Path>, grant: Grant) -> Self {
         Self {
@@ -32,6 +48,7 @@
             grant,
             taken: Instant::now(),
             settled: Mutex::new(false),
+            reused: AtomicBool::new(false),
         }
     }
 
@@ -54,6 +71,21 @@
         });
     }
 
+    /// Notes that the exchange goes over a connection that was open before.
+    pub(crate) fn set_reused(&self) {
+        self.reused.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the exchange goes over a connection that was open before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.reused.load(Ordering::Relaxed)
+    }
+
+    /// Releases the slot without blaming the server.
+    pub(crate) fn clear(&self) {
+        self.settle(Finding::new(Evidence::Nothing));
+    }
+
     fn is_overdue(&self) -> bool {
         let usual_ms = self.grant.hedge_after_ms;
         usual_ms > 0 && self.taken.elapsed() > Duration::from_millis(2 * usual_ms)
@@ -67,11 +99,6 @@
         } else {
             Evidence::Nothing
         };
-        self.settle(Finding {
-            evidence,
-            first_byte_us: 0,
-            whole_us: 0,
-            draining: false,
-        });
+        self.settle(Finding::new(evidence));
     }
 }
--- a/crates/entry/src/commands/run.rs
+++ b/crates/entry/src/commands/run.rs
@@ -2,70 +2,89 @@
 
 use {
     crate::{
-        commands::{attempts::attempts, earn, exchange::Job, intake::take_in, keyed::keyed},
-        queries, Answer, Budget, Incoming, Path, Plan,
+        commands::{attempts::attempts, exchange::Job, intake::take_in, keyed::keyed},
+        queries,
+        trace::{Trace, Watch},
+        Answer, Incoming, Path, Plan, Rules,
     },
-    config::{Document, Lookup},
-    std::sync::Arc,
-    types::{hash_of, ResultCode},
+    std::{
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
+        time::Duration,
+    },
+    tokio::time::timeout_at,
+    types::ResultCode,
 };
 
-/// Runs `incoming` under the configuration in force.
+/// Time past its deadline that a request which runs on its own is waited for, in milliseconds; it ends itself at
+/// the deadline.
+const OVERRUN_MS: u64 = 100;
+
+/// Runs `incoming` under `rules`.
 ///
-/// A request that is not idempotent runs to its end even if the caller leaves; an idempotent one is cancelled.
-pub async fn run(
-    path: &Arc<Path>,
-    document: &Document,
-    lookup: &Lookup,
-    incoming: Incoming,
-) -> Answer {
-    let plan = match queries::classify(document, lookup, &incoming) {
-        Ok(plan) => plan,
-        Err(code) => {
-            (path.note_answer)("", code);
-            return Answer::Own(code);
+/// If the caller leaves, a request that is idempotent is cancelled; another runs to its end once a backend server
+/// has it, and is not begun before.
+pub async fn run(path: &Arc<Path>, rules: Rules<'_>, incoming: Incoming) -> Answer {
+    let received = incoming.received;
+    let request_id = queries::request_id(&incoming.head.headers, &path.names);
+    let watch = Watch(Trace::new(&request_id, rules.version, received));
+    let (service, answer) = match queries::classify(rules, &incoming, &path.names, request_id) {
+        Ok(plan) => {
+            watch.0.planned(&plan.service, plan.deadline);
+            let service = plan.service.clone();
+            let answer = run_plan(path, plan, incoming, watch.0.clone()).await;
+            (service, answer)
         }
+        Err(code) => (String::new(), Answer::own(code)),
     };
-    let service = plan.service.clone();
-    let answer = run_plan(path, plan, incoming).await;
-    (path.note_answer)(&service, answer.code());
+    watch.0.ended(answer.code(), answer.status());
+    (path.note_answer)(&service, answer.code(), received.elapsed());
     answer
 }
 
-async fn run_plan(path: &Arc<Path>, plan: Plan, incoming: Incoming) -> Answer {
-    earn_retry(path, &plan);
-    let body = match take_in(&plan, incoming.body, incoming.length_bytes).await {
-        Ok(body) => body,
-        Err(code) => return Answer::Own(code),
+/// Tells a request that runs on its own that its caller has left.
+struct Leaving(Arc<AtomicBool>);
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+async fn run_plan(path: &Arc<Path>, plan: Plan, incoming: Incoming, trace: Trace) -> Answer {
+    let taking = take_in(&plan, incoming.body, incoming.length_bytes);
+    let body = match timeout_at(plan.deadline.into(), taking).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(code)) => return Answer::own(code),
+        Err(_) => return Answer::own(ResultCode::DeadlineNotRun),
     };
     let idempotent = plan.idempotent;
     let key = plan.key;
+    let deadline = plan.deadline + Duration::from_millis(OVERRUN_MS);
+    let caller_left = Arc::new(AtomicBool::new(false));
     let job = Job {
         path: Arc::clone(path),
         plan: Arc::new(plan),
         head: Arc::new(incoming.head),
         body,
+        trace,
+        caller_left: Arc::clone(&caller_left),
     };
     if idempotent {
         return attempts(job).await;
     }
+    let _leaving = Leaving(caller_left);
     let running = tokio::spawn(async move {
         match key {
             Some(key) => keyed(job, key).await,
             None => attempts(job).await,
         }
     });
-    running
-        .await
-        .unwrap_or(Answer::Own(ResultCode::OutcomeUnknown))
-}
-
-fn earn_retry(path: &Path, plan: &Plan) {
-    let now_ms = path.now_ms();
-    path.budgets.with(hash_of(&plan.service), |budgets| {
-        let budget = budgets
-            .entry(plan.service.clone())
-            .or_insert_with(|| Budget::new(now_ms));
-        earn(budget, plan.retry_percent, now_ms);
-    });
+    match timeout_at(deadline.into(), running).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) => Answer::own(ResultCode::OutcomeUnknown),
+        Err(_) => Answer::own(ResultCode::DeadlineUnknown),
+    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,18 +6,19 @@
 //! connection is aborted.
 
 mod answer;
-mod budget;
 pub mod commands;
 mod connections;
+mod names;
 mod plan;
 mod policy;
 pub mod queries;
+mod trace;
 
 pub use crate::{
     answer::{Answer, BodyKind, BoxedBody, StoredAnswer},
-    budget::Budget,
     connections::{set_socket_options, Connection, Connections},
-    plan::{Body, Head, Incoming, KeyPlan, OnceBody, Plan},
+    names::Names,
+    plan::{Body, Head, Incoming, KeyPlan, OnceBody, Plan, Rules},
     policy::{
         AcquireAsk, ClaimEnd, Claims, Evidence, Grant, NoteAnswer, NoteRetry, Path, Policy,
         Refused, Release, Settlement,
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -4,6 +4,7 @@
     crate::BoxedBody,
     bytes::Bytes,
     claim::Digest,
+    config::{Document, Lookup},
     hyper::{HeaderMap, Method, Uri},
     std::{
         sync::{atomic::AtomicBool, Arc, Mutex, PoisonError},
@@ -35,6 +36,17 @@
     pub received: Instant,
 }
 
+/// The configuration that a request runs under.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules<'a> {
+    /// Version of the document.
+    pub version: u64,
+    /// The document.
+    pub document: &'a Document,
+    /// Index over the document.
+    pub lookup: &'a Lookup,
+}
+
 /// The idempotency key of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct KeyPlan {
@@ -57,14 +69,18 @@
     pub key: Option<KeyPlan>,
     /// When its answer must be whole.
     pub deadline: Instant,
+    /// Until when its answer has its full worth, if its route has a target.
+    pub target: Option<Instant>,
+    /// Rank when slots are short; 0 is the most urgent.
+    pub priority: u32,
+    /// Most backend servers that it is given to.
+    pub attempts_max: u32,
     /// When it came in.
     pub received: Instant,
     /// Largest body, in bytes.
     pub max_body_bytes: u64,
     /// Largest answer held until whole, in bytes.
     pub hold_bytes: u64,
-    /// Retries and hedges as a share of requests, in percent.
-    pub retry_percent: u32,
 }
 
 /// A streamed body, taken by the first attempt that gets a connection.
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -1,11 +1,14 @@
 //! What varies on the request path, as structs of closures.
 
 use {
-    crate::{Budget, Connections, StoredAnswer},
+    crate::{Connections, Names, StoredAnswer},
     claim::Digest,
     futures_util::future::BoxFuture,
-    std::{collections::HashMap, net::SocketAddr, time::Instant},
-    types::{ResultCode, Shards},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    types::ResultCode,
 };
 
 /// What an attempt says about its backend server.
@@ -19,6 +22,10 @@
     Overdue,
     /// Refused for load.
     Shed,
+    /// No connection could be opened from here.
+    Unreachable,
+    /// Another server has the address.
+    Misdirected,
     /// Nothing can be said.
     Nothing,
 }
@@ -32,6 +39,12 @@
     pub idempotent: bool,
     /// When the request must be finished.
     pub deadline: Instant,
+    /// Until when its answer has its full worth, if it has a target.
+    pub target: Option<Instant>,
+    /// Rank when slots are short; 0 is the most urgent.
+    pub priority: u32,
+    /// Servers that were sent the request before; from 1 on the slot is a retry.
+    pub sent: u32,
     /// Servers already tried.
     pub exclude: Vec<String>,
 }
@@ -41,8 +54,8 @@
 pub struct Grant {
     /// Name of the service.
     pub service: String,
-    /// Data centre of the pool.
-    pub data_centre: String,
+    /// Data centre or region that the pool spans.
+    pub area: String,
     /// Instance that gave it; empty if it was chosen locally.
     pub owner: String,
     /// Number of the permit; 0 if it was chosen locally.
@@ -62,6 +75,18 @@
 pub struct Refused {
     /// Result for the caller.
     pub code: ResultCode,
+    /// Time after which the caller may try again, in milliseconds; none if not known.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refused {
+    /// Refuses without a time for another try.
+    pub fn new(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after_ms: None,
+        }
+    }
 }
 
 /// Gives a slot back with what its use says.
@@ -122,8 +147,8 @@
 /// Notes a retry or hedge: the service, and whether its budget allowed it.
 pub type NoteRetry = Box<dyn Fn(&str, bool) + Send + Sync>;
 
-/// Notes an answer: the service, empty if none was found, and the result code.
-pub type NoteAnswer = Box<dyn Fn(&str, ResultCode) + Send + Sync>;
+/// Notes an answer: the service, empty if none was found, the result code, and the time it took.
+pub type NoteAnswer = Box<dyn Fn(&str, ResultCode, Duration) + Send + Sync>;
 
 /// Everything the request path needs.
 pub struct Path {
@@ -133,19 +158,10 @@
     pub claims: Claims,
     /// Connections to backend servers.
     pub connections: Connections,
-    /// Retry budgets by service, in shards.
-    pub budgets: Shards<HashMap<String, Budget>>,
-    /// When this process started; the zero of its clock.
-    pub started: Instant,
+    /// Names of headers.
+    pub names: Names,
     /// Notes a retry or hedge.
     pub note_retry: NoteRetry,
     /// Notes an answer.
     pub note_answer: NoteAnswer,
 }
-
-impl Path {
-    /// Returns the time since this process started, in milliseconds.
-    pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
-    }
-}
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -1,16 +1,9 @@
-//! Queries: what a request is, and what the budget allows.
+//! Queries: classifying requests, and reading and making headers.
 
 mod classify;
 mod headers;
 
 pub use self::{
-    classify::classify,
-    headers::{pass_on, without_hop_headers},
+    classify::{classify, request_id},
+    headers::{is_measured, is_own_answer, pass_on, promises_not_run, without_hop_headers},
 };
-
-use crate::Budget;
-
-/// Tells whether one more retry may be spent.
-pub fn may_retry(budget: &Budget) -> bool {
-    budget.saved >= 1.0
-}
--- a/crates/entry/src/queries/classify.rs
+++ b/crates/entry/src/queries/classify.rs
@@ -1,79 +1,118 @@
 //! Classifies a request by the configuration in force.
 
 use {
-    crate::{Incoming, KeyPlan, Plan},
-    config::{queries, Document, Lookup, Service},
-    hyper::HeaderMap,
+    crate::{Head, Incoming, KeyPlan, Names, Plan, Rules},
+    config::{queries, Route, Service},
+    hyper::{header::HOST, HeaderMap},
     std::time::{Duration, Instant},
-    types::ResultCode,
+    types::{hash_of, ResultCode},
     wire::digest_of_key,
 };
 
-/// Header by which a caller gives its deadline, in milliseconds from now.
-const DEADLINE_HEADER: &str = "x-deadline-ms";
-/// Header that names a request that must not run twice.
-const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
 const KEY_MAX_BYTES: usize = 256;
 
+/// Longest id of a request that is taken from its caller, in bytes.
+const ID_MAX_BYTES: usize = 128;
+
+/// Returns the caller's id of the request, or a new one if it gives none that can be used.
+pub fn request_id(headers: &HeaderMap, names: &Names) -> String {
+    let given = headers.get(&names.request_id);
+    let given = given.and_then(|value| value.to_str().ok());
+    match given.filter(|id| !id.is_empty() && id.len() <= ID_MAX_BYTES) {
+        Some(id) => id.to_owned(),
+        None => format!("{:016x}", fastrand::u64(..)),
+    }
+}
+
 /// Says how `incoming` is to be treated.
 ///
 /// # Errors
 ///
 /// The result code for a request that is refused before any work.
 pub fn classify(
-    document: &Document,
-    lookup: &Lookup,
+    rules: Rules<'_>,
     incoming: &Incoming,
+    names: &Names,
+    request_id: String,
 ) -> Result<Plan, ResultCode> {
+    let (document, lookup) = (rules.document, rules.lookup);
     let path = incoming.head.uri.path();
-    let route = queries::find_route(document, lookup, incoming.head.method.as_str(), path);
+    let method = incoming.head.method.as_str();
+    let host = host(&incoming.head);
+    let route = queries::find_route(document, lookup, &host, method, path);
     let route = route.ok_or(ResultCode::NoRoute)?;
+    let part = queries::pick_part(route, hash_of(&request_id)).ok_or(ResultCode::NoRoute)?;
     let service =
-        queries::find_service(document, lookup, &route.service).ok_or(ResultCode::NoRoute)?;
+        queries::find_service(document, lookup, &part.service).ok_or(ResultCode::NoRoute)?;
+    let limit_bytes = document.limits.map_or(u64::MAX, |limits| limits.body_bytes);
+    let max_body_bytes = service.max_body_bytes.min(limit_bytes);
     if incoming
         .length_bytes
-        .is_some_and(|bytes| bytes > service.max_body_bytes)
+        .is_some_and(|bytes| bytes > max_body_bytes)
     {
         return Err(ResultCode::BodyTooLarge);
     }
-    let key = if route.idempotent {
+    let idempotent = route.kind.is_idempotent();
+    let key = if idempotent {
         None
     } else {
-        key(incoming, &service.name)?
+        key(incoming, names, &service.name)?
     };
+    let received = incoming.received;
+    let target = route.target_ms.map(Duration::from_millis);
     Ok(Plan {
-        request_id: format!("{:016x}", fastrand::u64(..)),
+        request_id,
         service: service.name.clone(),
-        idempotent: route.idempotent,
+        idempotent,
         key,
-        deadline: deadline(&incoming.head.headers, service, incoming.received)?,
-        received: incoming.received,
-        max_body_bytes: service.max_body_bytes,
+        deadline: deadline(&incoming.head.headers, names, service, route, received)?,
+        target: target.map(|target| received + target),
+        priority: route.priority,
+        attempts_max: route.attempts_max,
+        received,
+        max_body_bytes,
         hold_bytes: service.hold_bytes,
-        retry_percent: service.retry_percent,
     })
 }
 
+/// Returns the host that the caller asks for, in lower case and without a port.
+fn host(head: &Head) -> String {
+    let named = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = named.or(head.uri.host()).unwrap_or_default();
+    let without_port = match host.rsplit_once(':') {
+        Some((name, port)) if port.chars().all(|c| c.is_ascii_digit()) => name,
+        _ => host,
+    };
+    without_port.to_ascii_lowercase()
+}
+
+/// The smallest of what the caller gives, the route's timeout and the service's deadline.
 fn deadline(
     headers: &HeaderMap,
+    names: &Names,
     service: &Service,
+    route: &Route,
     received: Instant,
 ) -> Result<Instant, ResultCode> {
-    let asked_ms = match headers.get(DEADLINE_HEADER) {
-        None => service.deadline_ms,
+    let own_ms = service
+        .deadline_ms
+        .min(route.timeout_ms.unwrap_or(u64::MAX));
+    let asked_ms = match headers.get(&names.deadline) {
+        None => own_ms,
         Some(value) => {
             let text = value.to_str().map_err(|_| ResultCode::BadRequest)?;
             let asked: u64 = text.parse().map_err(|_| ResultCode::BadRequest)?;
-            asked.min(service.deadline_ms)
+            asked.min(own_ms)
         }
     };
     Ok(received + Duration::from_millis(asked_ms))
 }
 
 /// Two callers may use the same key, so the caller's credentials belong to the digest.
-fn key(incoming: &Incoming, service: &str) -> Result<Option<KeyPlan>, ResultCode> {
-    let Some(value) = incoming.head.headers.get(KEY_HEADER) else {
+fn key(incoming: &Incoming, names: &Names, service: &str) -> Result<Option<KeyPlan>, ResultCode> {
+    let named = names.key.as_ref();
+    let Some(value) = named.and_then(|name| incoming.head.headers.get(name)) else {
         return Ok(None);
     };
     let text = value.to_str().map_err(|_| ResultCode::KeyInvalid)?;
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -1,21 +1,18 @@
 //! Headers that are passed on and headers that belong to one hop.
 
 use {
-    crate::{Head, Plan},
+    crate::{Grant, Head, Names, Plan},
     hyper::{
+        body::Body,
         header::{
-            HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE,
-            PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+            HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST,
+            PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
         },
-        HeaderMap,
+        HeaderMap, Method, Response, StatusCode, Version,
     },
     std::time::Instant,
 };
 
-/// Header that carries the time left to the deadline, in milliseconds.
-const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
-/// Header that carries the request's id; a backend server echoes it.
-const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 /// Headers that belong to one hop.
 const HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -44,23 +41,73 @@
     kept
 }
 
-/// Returns the headers for a backend server: the caller's, with the host, the time left and the request's id.
-pub fn pass_on(head: &Head, plan: &Plan, authority: &str) -> HeaderMap {
+/// Returns the headers for a backend server: the caller's, with the host, the time left, the request's id and the
+/// server that is meant.
+pub fn pass_on(
+    head: &Head,
+    plan: &Plan,
+    names: &Names,
+    grant: &Grant,
+    authority: &str,
+) -> HeaderMap {
     let mut headers = without_hop_headers(&head.headers);
     headers.remove(CONTENT_LENGTH);
-    headers.remove(hyper::header::EXPECT);
+    headers.remove(EXPECT);
     if !headers.contains_key(HOST) {
-        if let Ok(host) = HeaderValue::from_str(authority) {
-            headers.insert(HOST, host);
-        }
+        insert(&mut headers, &HOST, authority);
     }
     let left_ms = plan
         .deadline
         .saturating_duration_since(Instant::now())
         .as_millis() as u64;
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
-    if let Ok(id) = HeaderValue::from_str(&plan.request_id) {
-        headers.insert(REQUEST_ID_HEADER, id);
+    headers.insert(&names.deadline, HeaderValue::from(left_ms));
+    insert(&mut headers, &names.request_id, &plan.request_id);
+    if let Some(name) = &names.server {
+        insert(&mut headers, name, &grant.server);
     }
     headers
 }
+
+/// A text that is no header value can't come from a valid request or list, so the header is left out.
+fn insert(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
+/// Tells whether an answer is the server's own to this very request: it echoes the id, and a success bears the
+/// proof that names ask for and is not encoded on its way.
+pub fn is_own_answer<Body>(answer: &Response<Body>, names: &Names, request_id: &str) -> bool {
+    let headers = answer.headers();
+    let echo = headers.get(&names.request_id);
+    let Some(proof) = &names.proof else {
+        return echo.is_none_or(|echo| echo == request_id);
+    };
+    let proved = !answer.status().is_success()
+        || (headers.contains_key(proof) && !headers.contains_key(CONTENT_ENCODING));
+    proved && echo.is_some_and(|echo| echo == request_id)
+}
+
+/// Tells whether the end of an answer can be told from a cut.
+pub fn is_measured<Content>(answer: &Response<Content>, names: &Names, method: &Method) -> bool
+where
+    Content: Body,
+{
+    let chunked = answer.headers().contains_key(TRANSFER_ENCODING);
+    let bodiless = *method == Method::HEAD
+        || answer.status() == StatusCode::NO_CONTENT
+        || answer.status() == StatusCode::NOT_MODIFIED;
+    let exact = answer.body().size_hint().exact().is_some();
+    names.whole_by_close || bodiless || exact || (chunked && answer.version() == Version::HTTP_11)
+}
+
+/// Tells whether a status says by itself that the request was not run and never will be.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ]
+    .contains(&status)
+}
--- a/crates/entry/tests/run.rs
+++ b/crates/entry/tests/run.rs
@@ -2,10 +2,10 @@
 
 use {
     bytes::Bytes,
-    config::{Detection, Document, Lookup, Route, Service},
+    config::{Detection, Document, Kind, Lookup, Route, Service},
     entry::{
         commands::run, Answer, BodyKind, ClaimEnd, Claims, Connections, Evidence, Grant, Head,
-        Incoming, Path, Policy, Refused, Release,
+        Incoming, Names, Path, Policy, Refused, Release, Rules,
     },
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Method},
@@ -16,7 +16,7 @@
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
-    types::{ResultCode, Shards},
+    types::ResultCode,
 };
 
 /// A request path over a fixed list of servers, tried in their order.
@@ -31,6 +31,11 @@
 
 /// As [`fixture`], in a process that is paused for `pause` while it acquires a slot.
 fn paused_fixture(addresses: &[SocketAddr], pause: Duration) -> Fixture {
+    named_fixture(addresses, pause, Names::new())
+}
+
+/// As [`paused_fixture`], with other names of headers.
+fn named_fixture(addresses: &[SocketAddr], pause: Duration, names: Names) -> Fixture {
     let addresses = addresses.to_vec();
     let releases = Arc::new(Mutex::new(Vec::new()));
     let kept = Arc::clone(&releases);
@@ -39,7 +44,7 @@
             let next = (0..addresses.len()).find(|n| !ask.exclude.contains(&n.to_string()));
             let grant = next.map(|number| Grant {
                 service: ask.service.clone(),
-                data_centre: "a".into(),
+                area: "a".into(),
                 owner: String::new(),
                 permit: 1,
                 server: number.to_string(),
@@ -49,7 +54,7 @@
             });
             let code = ResultCode::NoServer;
             std::thread::sleep(pause);
-            Box::pin(async move { grant.ok_or(Refused { code }) })
+            Box::pin(async move { grant.ok_or(Refused::new(code)) })
         }),
         release: Box::new(move |release| kept.lock().expect("no panic").push(release)),
     };
@@ -61,20 +66,17 @@
         policy,
         claims,
         connections: Connections::new(),
-        budgets: Shards::new(1),
-        started: Instant::now(),
+        names,
         note_retry: Box::new(|_, _| {}),
-        note_answer: Box::new(|_, _| {}),
+        note_answer: Box::new(|_, _, _| {}),
     });
     Fixture { path, releases }
 }
 
 fn document() -> Document {
-    let route = |method: &str, idempotent| Route {
-        prefix: "/".into(),
+    let route = |method: &str, kind| Route {
         methods: vec![method.into()],
-        service: "s".into(),
-        idempotent,
+        ..Route::new("/", "s", kind)
     };
     Document {
         services: vec![Service {
@@ -86,7 +88,8 @@
             max_body_bytes: 1_000,
             hold_bytes: 1_000,
         }],
-        routes: vec![route("GET", true), route("POST", false)],
+        routes: vec![route("GET", Kind::Safe), route("POST", Kind::Unsafe)],
+        limits: None,
     }
 }
 
@@ -122,7 +125,12 @@
 
 async fn run_one(fixture: &Fixture, incoming: Incoming) -> Answer {
     let document = document();
-    run(&fixture.path, &document, &Lookup::new(&document), incoming).await
+    let rules = Rules {
+        version: 1,
+        document: &document,
+        lookup: &Lookup::new(&document),
+    };
+    run(&fixture.path, rules, incoming).await
 }
 
 fn run_count(backend: &Backend) -> u32 {
@@ -227,7 +235,7 @@
                 "a cut answer ended as if whole"
             );
         }
-        Answer::Own(code) => assert_eq!(code, ResultCode::OutcomeUnknown),
+        Answer::Own(code, _) => assert_eq!(code, ResultCode::OutcomeUnknown),
         Answer::Passed(BodyKind::Held(stored)) => panic!("held {} bytes", stored.body.len()),
     }
 }
@@ -244,10 +252,11 @@
         let answer = run_one(&fixture, incoming(Method::GET, &[], "")).await;
         assert_eq!(answer.code(), ResultCode::Answered);
     }
+    // Three whole answers, and the slot of the silent exchange, which says nothing about the server.
     let releases = fixture.releases.lock().expect("no panic");
-    assert!(releases
-        .iter()
-        .all(|release| release.evidence == Evidence::Whole));
+    let count = |evidence| releases.iter().filter(|r| r.evidence == evidence).count();
+    assert_eq!((count(Evidence::Whole), count(Evidence::Nothing)), (3, 1));
+    assert_eq!(releases.len(), 4);
 }
 
 #[tokio::test]
--- /dev/null
+++ b/crates/feed/src/commands/announce.rs
@@ -0,0 +1,41 @@
+//! Writes this instance's record, and takes it back.
+
+use {
+    crate::{commands::publish, Feed},
+    log::{info, warn},
+    member::commands::report_instance,
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// First pause after a write that was not confirmed, in milliseconds; doubles, with jitter.
+const RETRY_FIRST_MS: u64 = 300;
+/// Longest pause after a write that was not confirmed, in milliseconds; calls count against a rate that all
+/// instances share.
+const RETRY_MAX_MS: u64 = 5_000;
+
+/// Writes the record until it is confirmed.
+pub async fn announce(feed: Arc<Feed>) {
+    feed.lists.with(0, |lists| {
+        report_instance(&mut lists.roster, &feed.own);
+    });
+    publish(&feed);
+    let mut pause_ms = RETRY_FIRST_MS;
+    while let Err(error) = (feed.source.announce)(&feed.own).await {
+        warn!("announcing this instance: {error}");
+        sleep(Duration::from_millis(
+            pause_ms / 2 + fastrand::u64(0..=pause_ms),
+        ))
+        .await;
+        pause_ms = (pause_ms * 2).min(RETRY_MAX_MS);
+    }
+    info!(target: "decision.belief", "{}", json!({ "belief": "announced", "instance": feed.own.name }));
+}
+
+/// Takes the record back once; if that fails others find out by themselves.
+pub async fn withdraw(feed: &Feed) {
+    if let Err(error) = (feed.source.withdraw)(&feed.own.name).await {
+        warn!("withdrawing this instance: {error}");
+    }
+}
--- /dev/null
+++ b/crates/feed/src/state.rs
@@ -0,0 +1,81 @@
+//! The state of a feed, and what it needs of the node around it.
+
+use {
+    futures_util::future::BoxFuture,
+    member::{Instance, Roster, View},
+    std::time::Instant,
+    stream::{Published, Source},
+    tokio::sync::watch,
+    types::Shards,
+    wire::generated::{ConfigAnswer, SyncAnswer, SyncAsk},
+};
+
+/// Asks another instance what changed; nothing if it did not answer in time, given in milliseconds.
+pub type SyncPeer =
+    Box<dyn Fn(Instance, SyncAsk, u64) -> BoxFuture<'static, Option<SyncAnswer>> + Send + Sync>;
+
+/// What a feed needs of the node around it.
+pub struct Hooks {
+    /// Asks another instance what changed.
+    pub sync: SyncPeer,
+    /// Tells whether an instance is passed over for now, by its name.
+    pub is_skipped: Box<dyn Fn(&str) -> bool + Send + Sync>,
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub config_version: Box<dyn Fn() -> u64 + Send + Sync>,
+    /// Puts a configuration of the platform in force, unless a newer one is.
+    pub put_in_force: Box<dyn Fn(&Published) + Send + Sync>,
+    /// Puts another instance's configuration in force, unless a newer one is.
+    pub adopt: Box<dyn Fn(&ConfigAnswer) + Send + Sync>,
+    /// Returns the configuration in force if it is newer than a version.
+    pub config_answer: Box<dyn Fn(u64) -> Option<ConfigAnswer> + Send + Sync>,
+    /// Takes the list of servers and instances whenever it changed.
+    pub publish: Box<dyn Fn(View) + Send + Sync>,
+}
+
+/// What is known of the lists.
+#[derive(Debug, Default)]
+pub(crate) struct Lists {
+    pub(crate) roster: Roster,
+    /// As of when the list of servers is known, in milliseconds of the feed's clock; none before the first whole
+    /// list.
+    pub(crate) as_of_ms: Option<u64>,
+    /// The process that the list was taken from last, and the version of its list.
+    pub(crate) taken_from: (u64, u64),
+}
+
+/// Keeps an instance's knowledge up to date.
+pub struct Feed {
+    /// This instance.
+    pub own: Instance,
+    /// Tells this process from others to whom its list's versions mean nothing.
+    pub id: u64,
+    pub(crate) source: Source,
+    pub(crate) hooks: Hooks,
+    pub(crate) started: Instant,
+    pub(crate) lists: Shards<Lists>,
+    /// Rises with each change of the list or the configuration.
+    pub(crate) changed: watch::Sender<u64>,
+    /// Whether this instance reads the platform.
+    pub(crate) reads: watch::Sender<bool>,
+}
+
+impl Feed {
+    /// Creates a feed that knows only its own instance.
+    pub fn new(own: Instance, source: Source, hooks: Hooks) -> Self {
+        Self {
+            own,
+            id: fastrand::u64(1..),
+            source,
+            hooks,
+            started: Instant::now(),
+            lists: Shards::new(1),
+            changed: watch::channel(0).0,
+            reads: watch::channel(false).0,
+        }
+    }
+
+    /// Returns the time since the feed was created, in milliseconds.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
--- a/crates/front/src/admin.rs
+++ b/crates/front/src/admin.rs
@@ -6,10 +6,21 @@
     wire::generated::{ConfigView, DecideAsk, HistoryText, ProposeAsk, Receipt, StatusReport},
 };
 
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Longest time from the end of an answer to the whole head of the next request, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
 /// What the callers' front end calls.
 pub struct Callers {
     /// Runs one request.
     pub run: Box<dyn Fn(Incoming) -> BoxFuture<'static, Answer> + Send + Sync>,
+    /// Returns what callers may send and how long they may take.
+    pub limits: Box<dyn Fn() -> CallerLimits + Send + Sync>,
     /// Tells whether the instance is leaving, so that connections close after their answer.
     pub is_leaving: Box<dyn Fn() -> bool + Send + Sync>,
 }
--- a/crates/front/src/commands/callers.rs
+++ b/crates/front/src/commands/callers.rs
@@ -31,16 +31,18 @@
     },
 };
 
-/// Time allowed for a request's head, in milliseconds.
-const HEAD_TIMEOUT_MS: u64 = 10_000;
+/// Least size of a connection's buffer, in bytes; the library asks for it.
+const BUFFER_LEAST_BYTES: usize = 8_192;
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
-/// Longest time for which open exchanges are waited for at a stop, in milliseconds.
-const FINISH_TIMEOUT_MS: u64 = 120_000;
 
-/// Serves callers on `listener` until `stop` ends, then finishes what is in flight.
-pub async fn serve_callers<Stop>(listener: TcpListener, callers: Arc<Callers>, stop: Stop)
-where
+/// Serves callers on `listener` until `stop` ends, then finishes what is in flight within `finish_ms`.
+pub async fn serve_callers<Stop>(
+    listener: TcpListener,
+    callers: Arc<Callers>,
+    stop: Stop,
+    finish_ms: u64,
+) where
     Stop: Future<Output = ()>,
 {
     let graceful = GracefulShutdown::new();
@@ -56,9 +58,9 @@
         }
     }
     drop(listener);
-    let limit = Duration::from_millis(FINISH_TIMEOUT_MS);
+    let limit = Duration::from_millis(finish_ms);
     if timeout(limit, graceful.shutdown()).await.is_err() {
-        log::warn!("some exchanges did not end in {FINISH_TIMEOUT_MS} ms");
+        log::warn!("some exchanges did not end in {finish_ms} ms");
     }
 }
 
@@ -68,13 +70,16 @@
         return;
     }
     let callers = Arc::clone(callers);
+    let limits = (callers.limits)();
     let service = service_fn(move |request| {
         let callers = Arc::clone(&callers);
         async move { Ok::<_, Infallible>(answer(&callers, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(HEAD_TIMEOUT_MS))
+        // Counts from the end of the answer before, so it bounds the wait for a request as well.
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(limits.header_bytes.max(BUFFER_LEAST_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod commands;
 pub mod queries;
 
-pub use crate::admin::{Admin, Callers, Change, FindPrincipal};
+pub use crate::admin::{Admin, CallerLimits, Callers, Change, FindPrincipal};
--- a/crates/member/src/commands.rs
+++ b/crates/member/src/commands.rs
@@ -1,28 +1,12 @@
-//! Commands that change the record of contact.
-
-use crate::{Contact, Contacts};
-
-/// First time for which a silent peer is skipped, in milliseconds; short, since the peer may only have stalled
-/// and its second in order knows nothing yet.
-const SKIP_FIRST_MS: u64 = 100;
-/// Longest time for which a silent peer is skipped, in milliseconds.
-const SKIP_MAX_MS: u64 = 8_000;
-
-/// Notes that `peer` did not answer; the time for which it is skipped doubles with each failure in a row.
-pub fn failed(contacts: &mut Contacts, peer: &str, now_ms: u64) {
-    let failures = contacts
-        .peers
-        .get(peer)
-        .map_or(0, |contact| contact.failures);
-    let skip_ms = (SKIP_FIRST_MS << failures.min(7)).min(SKIP_MAX_MS);
-    let contact = Contact {
-        failures: failures.saturating_add(1),
-        skip_until_ms: now_ms + skip_ms,
-    };
-    contacts.peers.insert(peer.to_owned(), contact);
-}
-
-/// Notes that `peer` answered.
-pub fn answered(contacts: &mut Contacts, peer: &str) {
-    contacts.peers.remove(peer);
-}
+//! Commands that change the record of contact and the roster.
+
+mod contact;
+mod roster;
+
+pub use self::{
+    contact::{answered, failed},
+    roster::{
+        drop_instance, drop_server, merge, report_instance, report_server, retain_instances,
+        retain_servers, settle, source_back,
+    },
+};
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod commands;
 pub mod queries;
+mod roster;
 mod view;
 
-pub use crate::view::{BackendServer, Contact, Contacts, Instance, Presence, View};
+pub use crate::{
+    roster::{Delta, Roster, Stamp},
+    view::{BackendServer, Contact, Contacts, Instance, Presence, View, CAPACITY_PERMILLE},
+};
--- /dev/null
+++ b/crates/member/src/queries/roster.rs
@@ -0,0 +1,69 @@
+//! Queries over the roster.
+
+use crate::{Delta, Roster, View};
+
+/// Returns the version of the roster.
+pub fn list_version(roster: &Roster) -> u64 {
+    roster.version
+}
+
+/// Tells whether what the roster lacks is gone for certain.
+pub fn is_settled(roster: &Roster, now_ms: u64) -> bool {
+    now_ms >= roster.unsettled_until_ms
+}
+
+/// Returns what changed since version `since`; everything for 0 or a version too far back.
+pub fn delta(roster: &Roster, since: u64, now_ms: u64) -> Delta {
+    let whole = since == 0 || since < roster.graves_from || since > roster.version;
+    let after = if whole { 0 } else { since };
+    let servers = roster
+        .servers
+        .values()
+        .filter(|known| known.changed > after);
+    let instances = roster
+        .instances
+        .values()
+        .filter(|known| known.changed > after);
+    let gone = |is_server: bool| {
+        let graves = roster.graves.iter();
+        graves
+            .filter(|grave| !whole && grave.changed > after && grave.is_server == is_server)
+            .filter(|grave| !is_listed(roster, &grave.name, is_server))
+            .map(|grave| grave.name.clone())
+            .collect()
+    };
+    Delta {
+        version: roster.version,
+        whole,
+        settled: is_settled(roster, now_ms),
+        servers: servers.map(|known| known.value.clone()).collect(),
+        instances: instances.map(|known| known.value.clone()).collect(),
+        gone_servers: gone(true),
+        gone_instances: gone(false),
+    }
+}
+
+/// Indexes the roster; entries stand in order of their names, so that all instances see the same order.
+pub fn view(roster: &Roster) -> View {
+    let mut servers: Vec<_> = roster
+        .servers
+        .values()
+        .map(|known| known.value.clone())
+        .collect();
+    servers.sort_by(|left, right| left.name.cmp(&right.name));
+    let mut instances: Vec<_> = roster
+        .instances
+        .values()
+        .map(|known| known.value.clone())
+        .collect();
+    instances.sort_by(|left, right| left.name.cmp(&right.name));
+    View::new(roster.version, instances, servers)
+}
+
+fn is_listed(roster: &Roster, name: &str, is_server: bool) -> bool {
+    if is_server {
+        roster.servers.contains_key(name)
+    } else {
+        roster.instances.contains_key(name)
+    }
+}
--- a/crates/member/tests/member.rs
+++ b/crates/member/tests/member.rs
@@ -11,11 +11,9 @@
 
 fn instances(count: u8) -> Vec<Instance> {
     let numbers = 0..count;
-    let made = numbers.map(|number| Instance {
-        name: format!("i{number}"),
-        data_centre: "a".into(),
-        rpc_address: ([127, 0, 0, 1], 1000 + u16::from(number)).into(),
-        presence: Presence::Live,
+    let made = numbers.map(|number| {
+        let address = ([127, 0, 0, 1], 1000 + u16::from(number)).into();
+        Instance::new(&format!("i{number}"), "a", address)
     });
     made.collect()
 }
@@ -59,14 +57,10 @@
 }
 
 #[test]
-fn pool_data_centres_own_first_and_live_only() {
+fn pool_areas_own_first_and_live_only() {
     let server = |name: &str, data_centre: &str, presence| BackendServer {
-        name: name.into(),
-        service: "s".into(),
-        data_centre: data_centre.into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        slots: 1,
         presence,
+        ..BackendServer::new(name, "s", data_centre, ([127, 0, 0, 1], 1).into(), 1)
     };
     let servers = vec![
         server("1", "a", Presence::Live),
@@ -74,7 +68,7 @@
         server("3", "c", Presence::Leaving),
     ];
     let view = View::new(1, Vec::new(), servers);
-    assert_eq!(queries::pool_data_centres(&view, "s", "b"), ["b", "a"]);
+    assert_eq!(queries::pool_areas(&view, "s", &["b"]), ["b", "a"]);
     assert_eq!(queries::pool_servers(&view, "s", "c").count(), 1);
     assert_eq!(queries::pool_servers(&view, "other", "a").count(), 0);
 }
--- a/crates/outlier/src/commands/observe.rs
+++ b/crates/outlier/src/commands/observe.rs
@@ -1,7 +1,7 @@
 //! Takes in the outcome of one request.
 
 use {
-    crate::{queries, Evidence, Health, Sensitivity, ServerHealth},
+    crate::{health::PRIOR_LOG_ODDS, queries, Evidence, Health, Sensitivity, ServerHealth},
     types::ServerIndex,
 };
 
@@ -17,6 +17,16 @@
 const USUAL_LATE_SHARE: f64 = 0.02;
 /// Weight of a shed answer, in natural-log units: two owners at once can cause it.
 const SHED_LLR: f64 = 0.3;
+/// Share of its work that a failing server fails; it fails part of it, and most.
+const FAILING_SHARE: f64 = 0.85;
+/// Weight of a connection that could not be opened, in natural-log units: a cut between two machines can cause it.
+const UNREACHABLE_LLR: f64 = 1.5;
+/// Bound of the belief, as log odds, so that no amount of old work hides a change.
+const BELIEF_MAX: f64 = 4.0;
+/// Least time as a suspect, in milliseconds: a few answers of usual length.
+const SUSPECT_HOLD_FIRST_MS: u64 = 500;
+/// Longest least time as a suspect, in milliseconds.
+const SUSPECT_HOLD_MAX_MS: u64 = 8_000;
 /// Factor by which a peer's share of bad outcomes is raised before it is taken as usual.
 const PEER_SHARE_FACTOR: f64 = 1.5;
 /// Least usual time that ages are held against, in microseconds.
@@ -62,22 +72,17 @@
         Evidence::Failed => bad(entry, peer_share, USUAL_FAILED_SHARE),
         Evidence::Overdue => bad(entry, peer_share, USUAL_FAILED_SHARE),
         Evidence::Shed => entry.llr += if peer_share.is_some() { SHED_LLR } else { 0.0 },
-        Evidence::Nothing => {}
+        Evidence::Unreachable | Evidence::Nothing => {}
     }
-    update_suspicion(entry, sensitivity, now_ms);
+    learn_belief(entry, evidence, late_us, sensitivity, now_ms);
+    update_suspicion(entry, peer_share.is_some(), now_ms);
 }
 
 /// Weighs the ages of the requests in flight at `server`, given in microseconds.
 ///
 /// An age is as likely at a usual server as half to the power of its count of usual times; a hung request
 /// is evidence long before its timeout.
-pub fn observe_flight(
-    health: &mut Health,
-    server: ServerIndex,
-    ages_us: &[f64],
-    sensitivity: Sensitivity,
-    now_ms: u64,
-) {
+pub fn observe_flight(health: &mut Health, server: ServerIndex, ages_us: &[f64], now_ms: u64) {
     let peer_share = queries::peer_bad_share(health, server);
     let usual_us = queries::peer_usual_us(health, server);
     let Some(entry) = health.servers.get_mut(server) else {
@@ -96,7 +101,33 @@
         }
         _ => 0.0,
     };
-    update_suspicion(entry, sensitivity, now_ms);
+    update_suspicion(entry, peer_share.is_some(), now_ms);
+}
+
+/// Moves the belief by what one outcome says, after it has faded towards the prior.
+fn learn_belief(
+    entry: &mut ServerHealth,
+    evidence: Evidence,
+    late_us: Option<f64>,
+    sensitivity: Sensitivity,
+    now_ms: u64,
+) {
+    entry.belief = queries::faded_belief(entry, now_ms);
+    entry.belief_ms = now_ms;
+    let usual_failed = sensitivity.usual_failed_share;
+    let step = match evidence {
+        Evidence::Whole { first_byte_us }
+            if late_us.is_some_and(|limit_us| first_byte_us as f64 > limit_us) =>
+        {
+            0.0
+        }
+        Evidence::Whole { .. } => ((1.0 - FAILING_SHARE) / (1.0 - usual_failed)).ln(),
+        Evidence::Failed | Evidence::Overdue => (FAILING_SHARE / usual_failed).ln(),
+        Evidence::Shed => SHED_LLR,
+        Evidence::Unreachable => UNREACHABLE_LLR,
+        Evidence::LateWhole { .. } | Evidence::Nothing => 0.0,
+    };
+    entry.belief = (entry.belief + step).clamp(-BELIEF_MAX, BELIEF_MAX);
 }
 
 fn learn_usual(entry: &mut ServerHealth, first_byte_us: u64) {
@@ -141,12 +172,18 @@
     entry.llr = entry.llr.max(0.0);
 }
 
-fn update_suspicion(entry: &mut ServerHealth, sensitivity: Sensitivity, now_ms: u64) {
-    if !entry.suspect && entry.llr + entry.flight_llr >= sensitivity.suspect_llr {
+/// A server is a suspect while it more likely fails than not. Suspicion ends with enough good outcomes in a row,
+/// or when the belief has faded and its hold has passed, so that a server without trials returns as well.
+fn update_suspicion(entry: &mut ServerHealth, has_peers: bool, now_ms: u64) {
+    let likely = queries::failing_odds(entry, now_ms) >= 0.0;
+    if !entry.suspect && likely && has_peers {
         suspect(entry, now_ms);
     } else if entry.suspect && entry.good_in_row >= entry.goods_needed {
         entry.suspect = false;
         entry.llr = 0.0;
+        entry.belief = entry.belief.min(PRIOR_LOG_ODDS);
+    } else if entry.suspect && !likely && now_ms >= entry.suspect_until_ms {
+        entry.suspect = false;
     }
 }
 
@@ -165,4 +202,10 @@
         TRIAL_FIRST_MS
     };
     entry.trial_ms = now_ms + entry.trial_interval_ms;
+    entry.suspect_hold_ms = if flapping {
+        (entry.suspect_hold_ms * 2).clamp(SUSPECT_HOLD_FIRST_MS, SUSPECT_HOLD_MAX_MS)
+    } else {
+        SUSPECT_HOLD_FIRST_MS
+    };
+    entry.suspect_until_ms = now_ms + entry.suspect_hold_ms;
 }
--- a/crates/outlier/src/health.rs
+++ b/crates/outlier/src/health.rs
@@ -4,6 +4,10 @@
 
 use types::{EntityMap, ServerIndex};
 
+/// Odds that a server of which nothing was heard lately fails most of its work, as a natural logarithm: one in
+/// five, as among backend servers of which up to a third may fail at a time.
+pub(crate) const PRIOR_LOG_ODDS: f64 = -1.386;
+
 /// What the outcome of one request says about its server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Evidence {
@@ -23,15 +27,17 @@
     },
     /// The server refused for load while the owner held a free slot of it.
     Shed,
+    /// One instance could not open a connection to it.
+    Unreachable,
     /// Nothing can be said about the server, as when one connection went silent or the caller left early.
     Nothing,
 }
 
-/// Thresholds of the sequential test, in natural-log units.
+/// Thresholds of the sequential test, in natural-log units, and what a failure says.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sensitivity {
-    /// Ratio from which a server is a suspect.
-    pub suspect_llr: f64,
+    /// Share of a usual server's requests that are taken to fail; the smaller, the more one failure says.
+    pub usual_failed_share: f64,
     /// Ratio from which its ejection is proposed.
     pub eject_llr: f64,
     /// Time as a suspect before its ejection is proposed, in milliseconds; a suspect costs no capacity, so
@@ -43,7 +49,7 @@
     /// Thresholds for services where a missed detection costs more.
     pub fn fast() -> Self {
         Self {
-            suspect_llr: 5.3,
+            usual_failed_share: 0.012,
             eject_llr: 14.0,
             eject_after_ms: 4_000,
         }
@@ -52,7 +58,7 @@
     /// Thresholds for services where a false ejection costs more.
     pub fn careful() -> Self {
         Self {
-            suspect_llr: 9.0,
+            usual_failed_share: 0.03,
             eject_llr: 24.0,
             eject_after_ms: 8_000,
         }
@@ -71,8 +77,17 @@
 }
 
 /// The evidence about one server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ServerHealth {
+    /// Odds that the server fails most of its work, as a natural logarithm, as of `belief_ms`; see
+    /// [`queries::failing_share`](crate::queries::failing_share).
+    pub belief: f64,
+    /// When the belief was last brought up to date, in milliseconds.
+    pub belief_ms: u64,
+    /// Until when suspicion stays whatever the belief, in milliseconds.
+    pub suspect_until_ms: u64,
+    /// How long suspicion stays at least, in milliseconds; doubles while the server flaps.
+    pub suspect_hold_ms: u64,
     /// Log-likelihood ratio of bad against usual.
     pub llr: f64,
     /// The same ratio for the requests still in flight, by their age; gone when they end.
@@ -103,6 +118,38 @@
     pub hold_until_ms: u64,
 }
 
+impl ServerHealth {
+    /// Creates the evidence about a server of which nothing is known yet.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            belief: PRIOR_LOG_ODDS,
+            belief_ms: now_ms,
+            suspect_until_ms: 0,
+            suspect_hold_ms: 0,
+            llr: 0.0,
+            flight_llr: 0.0,
+            bad_share: 0.0,
+            usual_us: 0.0,
+            whole_count: 0,
+            proved_ms: None,
+            suspect: false,
+            good_in_row: 0,
+            goods_needed: 0,
+            suspected_ms: 0,
+            trial_ms: 0,
+            trial_interval_ms: 0,
+            ejection_count: 0,
+            hold_until_ms: 0,
+        }
+    }
+}
+
+impl Default for ServerHealth {
+    fn default() -> Self {
+        Self::new(0)
+    }
+}
+
 /// The evidence about all servers of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
--- a/crates/outlier/tests/detection.rs
+++ b/crates/outlier/tests/detection.rs
@@ -92,15 +92,9 @@
     let mut health = warm(4);
     let server = ServerIndex::from(2);
     let usual_us = USUAL_US as f64;
-    observe_flight(&mut health, server, &[usual_us], Sensitivity::fast(), 0);
+    observe_flight(&mut health, server, &[usual_us], 0);
     assert!(!is_suspect(&health, 2));
-    observe_flight(
-        &mut health,
-        server,
-        &[usual_us * 9.0],
-        Sensitivity::fast(),
-        0,
-    );
+    observe_flight(&mut health, server, &[usual_us * 9.0], 0);
     assert!(is_suspect(&health, 2));
 }
 
--- /dev/null
+++ b/crates/permit/src/budget.rs
@@ -0,0 +1,31 @@
+//! A service's budget of retries over a sliding window.
+//!
+//! Invariant: in any window the retries granted are at most the service's share of the requests seen in it, plus
+//! a slack, so that retries can't multiply a fault.
+
+use std::collections::VecDeque;
+
+/// Length of one count, in milliseconds; a window is made of whole ones, and one more is kept so that no window
+/// between them holds more.
+pub(crate) const COUNT_MS: u64 = 500;
+
+/// What happened in one stretch of [`COUNT_MS`].
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Count {
+    pub(crate) number: u64,
+    pub(crate) requests: u32,
+    pub(crate) retries: u32,
+}
+
+/// Counts of requests and retries of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    pub(crate) counts: VecDeque<Count>,
+}
+
+impl Budget {
+    /// Creates a budget without requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
--- a/crates/permit/src/commands.rs
+++ b/crates/permit/src/commands.rs
@@ -1,10 +1,12 @@
 //! Commands that change a pool; each returns at most a receipt.
 
+mod budget;
 mod list;
 mod queue;
 mod take;
 
 pub use self::{
+    budget::{forget_old, note_request, spend},
     list::list_server,
     queue::{drop_silent_waiters, enqueue, hear, leave_queue},
     take::{expire, give_back, mark_overdue, take},
--- a/crates/permit/src/commands/list.rs
+++ b/crates/permit/src/commands/list.rs
@@ -11,13 +11,18 @@
     pool: &mut Pool,
     name: &str,
     address: SocketAddr,
+    data_centre: &str,
     slots: u32,
 ) -> (ServerIndex, bool) {
     let index = pool.names.intern(name);
     let Some(server) = pool.servers.get_mut(index) else {
-        return (pool.servers.push(Server::new(address, slots)), true);
+        return (
+            pool.servers.push(Server::new(address, data_centre, slots)),
+            true,
+        );
     };
     server.address = address;
+    data_centre.clone_into(&mut server.data_centre);
     if server.slots != slots {
         server.slots = slots;
         server.open_slots = slots;
--- a/crates/permit/src/commands/queue.rs
+++ b/crates/permit/src/commands/queue.rs
@@ -1,20 +1,23 @@
 //! Keeps the queue of requests that wait for a slot.
 
-use crate::{Pool, Waiter, Wish};
+use crate::{queries, Pool, Waiter, Wish};
 
 /// Time past its next ask after which a waiter is forgotten, in milliseconds.
 const SILENT_WAITER_MS: u64 = 100;
 
-/// Adds a waiter at the end and returns its ticket; it is absent until [`hear`] says otherwise.
+/// Adds a waiter behind those that are as urgent and returns its ticket; it is absent until [`hear`] says
+/// otherwise.
 pub fn enqueue(pool: &mut Pool, wish: Wish, now_ms: u64) -> u64 {
     pool.next_ticket += 1;
     let ticket = pool.next_ticket;
-    pool.queue.push_back(Waiter {
+    let place = queries::ahead(pool, None, wish.priority);
+    let waiter = Waiter {
         ticket,
         present_until_ms: now_ms,
         forget_ms: now_ms + SILENT_WAITER_MS,
         wish,
-    });
+    };
+    pool.queue.insert(place, waiter);
     ticket
 }
 
--- a/crates/permit/src/commands/take.rs
+++ b/crates/permit/src/commands/take.rs
@@ -22,6 +22,7 @@
     if let Some(server) = pool.servers.get_mut(choice.server) {
         server.held += 1;
         server.granted_count += 1;
+        server.granted_ms = now_ms;
         if choice.trial {
             server.trial_due = false;
         }
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -2,8 +2,14 @@
 //!
 //! Pure decisions: a choice is a query, the taking of it a command, and time is passed in.
 
+mod budget;
 pub mod commands;
 mod pool;
 pub mod queries;
+mod recent;
 
-pub use crate::pool::{Choice, Permit, Pool, Refusal, Server, Standing, Waiter, Wish};
+pub use crate::{
+    budget::Budget,
+    pool::{Choice, Permit, Pool, Refusal, Server, Standing, Waiter, Wish},
+    recent::Recent,
+};
