--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -1,7 +1,7 @@
 //! The state of one pool: its servers, the permits out, and the queue.
 //!
-//! Invariants: a server's `held` equals its permits out; the queue is in order of arrival; a permit whose
-//! expiry has passed is taken back, so a dead entry instance can't keep slots.
+//! Invariants: a server's `held` equals its permits out; the queue is in order of priority, then of arrival; a
+//! permit whose expiry has passed is taken back, so a dead entry instance can't keep slots.
 
 use {
     std::{
@@ -27,6 +27,8 @@
 pub struct Server {
     /// Address that takes its requests.
     pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: String,
     /// Requests it runs at a time.
     pub slots: u32,
     /// Slots it is given while it ramps up after a cold start; equals `slots` once warm.
@@ -41,13 +43,18 @@
     pub trial_due: bool,
     /// Count of permits granted, which spreads equal choices.
     pub granted_count: u64,
+    /// When a permit was granted last, or the server was listed, in milliseconds.
+    pub granted_ms: u64,
+    /// What a request given to it is expected to cost, in thousandths of a lost request.
+    pub cost_permille: u32,
 }
 
 impl Server {
     /// Creates a listed server without work.
-    pub fn new(address: SocketAddr, slots: u32) -> Self {
+    pub fn new(address: SocketAddr, data_centre: &str, slots: u32) -> Self {
         Self {
             address,
+            data_centre: data_centre.to_owned(),
             slots,
             open_slots: slots,
             held: 0,
@@ -55,6 +62,8 @@
             leaving: false,
             trial_due: false,
             granted_count: 0,
+            granted_ms: 0,
+            cost_permille: 0,
         }
     }
 }
@@ -73,12 +82,23 @@
 }
 
 /// What an entry instance asks for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Wish {
     /// Whether the request may be given to a server under trial.
     pub idempotent: bool,
     /// When the request must be finished, in milliseconds of the owner's clock.
     pub deadline_ms: u64,
+    /// Until when its answer has its full worth, in milliseconds of the owner's clock; 0 if it has no target or
+    /// has missed it.
+    pub target_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Data centre of the asker, whose servers are preferred.
+    pub data_centre: String,
+    /// A good server that got no work since is preferred, in milliseconds of the owner's clock.
+    pub neglected_before_ms: u64,
+    /// Whether to wait for a better server rather than take a suspect.
+    pub spurns_suspects: bool,
     /// Servers that the request already tried.
     pub exclude: Vec<ServerIndex>,
 }
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -1,11 +1,11 @@
 //! Queries over a pool; none of them changes it.
 
 use {
-    crate::{Choice, Pool, Refusal, Server, Standing, Wish},
+    crate::{Budget, Choice, Pool, Refusal, Server, Standing, Waiter, Wish},
     types::ServerIndex,
 };
 
-/// Picks a server for the wish: a due trial first, then by standing, then by use.
+/// Picks a server for the wish: a due trial first, then by standing, then by what it is expected to cost.
 ///
 /// # Errors
 ///
@@ -18,7 +18,8 @@
             continue;
         }
         any = true;
-        if server.held >= server.open_slots {
+        let spurned = wish.spurns_suspects && server.standing == Standing::Suspect;
+        if server.held >= server.open_slots || (spurned && !is_trial(server, wish)) {
             continue;
         }
         if best.is_none_or(|(_, other)| rank(server, wish) < rank(other, wish)) {
@@ -35,23 +36,71 @@
     }
 }
 
+/// Picks a server that got no request since `since_ms`, the one expected to cost least, if fewer than
+/// `least_percent` of the pool's servers got one; so that a service which fails part of its requests does not
+/// narrow itself to few servers.
+pub fn choose_unused(
+    pool: &Pool,
+    wish: &Wish,
+    since_ms: u64,
+    least_percent: u32,
+) -> Option<Choice> {
+    let mut usable = 0;
+    let mut used = 0;
+    let mut best: Option<(ServerIndex, &Server)> = None;
+    for (index, server) in pool.servers.iter().filter(|(_, server)| may_work(server)) {
+        usable += 1;
+        if server.granted_ms >= since_ms {
+            used += 1;
+            continue;
+        }
+        if server.held >= server.open_slots || wish.exclude.contains(&index) {
+            continue;
+        }
+        if best.is_none_or(|(_, other)| server.cost_permille < other.cost_permille) {
+            best = Some((index, server));
+        }
+    }
+    let few = used * 100 < usable * least_percent;
+    best.filter(|_| few).map(|(server, found)| Choice {
+        server,
+        trial: found.trial_due,
+    })
+}
+
 /// Tells whether a request with `ahead` waiters in front would be answered before `deadline_ms`.
 pub fn fits_deadline(pool: &Pool, ahead: usize, now_ms: u64, deadline_ms: u64) -> bool {
     let finish_us = wait_us(pool, ahead) + pool.service_us;
     now_ms as f64 + finish_us / 1_000.0 < deadline_ms as f64
 }
 
-/// Returns the expected wait with `ahead` waiters in front, by the mean service time, in microseconds.
+/// Returns the expected wait with `ahead` waiters in front, by the mean service time, in microseconds. Suspects
+/// count only if there is no other server.
 pub fn wait_us(pool: &Pool, ahead: usize) -> f64 {
-    let slots: u32 = pool
-        .servers
-        .iter()
-        .filter(|(_, server)| may_work(server))
-        .map(|(_, server)| server.open_slots)
-        .sum();
+    let sum = |standing: &dyn Fn(Standing) -> bool| -> u32 {
+        let usable = pool.servers.iter().filter(|(_, server)| may_work(server));
+        usable
+            .filter(|(_, server)| standing(server.standing))
+            .map(|(_, server)| server.open_slots)
+            .sum()
+    };
+    let good = sum(&|standing| standing == Standing::Good);
+    let slots = if good > 0 { good } else { sum(&|_| true) };
     (ahead as f64 + 1.0) * pool.service_us / f64::from(slots.max(1))
 }
 
+/// Returns the mean service time, in microseconds; 0 before the first whole answer.
+pub fn service_us(pool: &Pool) -> f64 {
+    pool.service_us
+}
+
+/// Tells whether retries are left in the window: `percent` of its requests, and `slack` more.
+pub fn may_retry(budget: &Budget, percent: u32, slack: u32) -> bool {
+    let requests: u64 = budget.counts.iter().map(|c| u64::from(c.requests)).sum();
+    let retries: u64 = budget.counts.iter().map(|c| u64::from(c.retries)).sum();
+    (retries + 1) * 100 <= requests * u64::from(percent) + u64::from(slack) * 100
+}
+
 /// Returns the first waiter that waits here and can take a slot at once.
 pub fn first_present(pool: &Pool, now_ms: u64) -> Option<u64> {
     pool.queue
@@ -60,14 +109,30 @@
         .map(|waiter| waiter.ticket)
 }
 
-/// Counts the waiters in front of `ticket`, or all of them for a newcomer.
-pub fn ahead(pool: &Pool, ticket: Option<u64>) -> usize {
-    pool.queue
-        .iter()
-        .take_while(|waiter| Some(waiter.ticket) != ticket)
+/// Counts the waiters in front of `ticket`, or those as urgent as `priority` for a newcomer.
+pub fn ahead(pool: &Pool, ticket: Option<u64>, priority: u32) -> usize {
+    let is_ahead = |waiter: &&Waiter| match ticket {
+        Some(ticket) => waiter.ticket != ticket,
+        None => waiter.wish.priority <= priority,
+    };
+    pool.queue.iter().take_while(is_ahead).count()
+}
+
+/// Counts the waiters in front that are here and can take a slot at once.
+pub fn present_ahead(pool: &Pool, ticket: Option<u64>, priority: u32, now_ms: u64) -> usize {
+    let in_front = ahead(pool, ticket, priority);
+    let waiters = pool.queue.iter().take(in_front);
+    waiters
+        .filter(|waiter| now_ms < waiter.present_until_ms)
         .count()
 }
 
+/// Tells whether a server that is no suspect may take work.
+pub fn has_good(pool: &Pool) -> bool {
+    let mut servers = pool.servers.iter();
+    servers.any(|(_, server)| may_work(server) && server.standing == Standing::Good)
+}
+
 /// Walks the tickets in order of arrival.
 pub fn tickets(pool: &Pool) -> impl Iterator<Item = u64> + '_ {
     pool.queue.iter().map(|waiter| waiter.ticket)
@@ -95,13 +160,36 @@
     server.trial_due && wish.idempotent && server.standing == Standing::Suspect
 }
 
-/// Orders servers; the smallest is picked. Use is compared in thousandths of the open slots.
-fn rank(server: &Server, wish: &Wish) -> (bool, Standing, u32, u64) {
+/// What a fully used server costs beside an idle one, in thousandths of a lost request: servers slow down when
+/// they are nearly full, and work lost with one server is less when it is spread.
+const FULL_COST_PERMILLE: u32 = 300;
+/// What a server of another data centre costs, in thousandths of a lost request: a way of a millisecond or two, and
+/// bytes between data centres that are paid for.
+const FAR_COST_PERMILLE: u32 = 20;
+
+/// Expected cost from which a server is not tried for want of work, in thousandths of a lost request.
+const NEGLECT_COST_MAX_PERMILLE: u32 = 350;
+
+/// A good server that got no work for a while is tried, so that a new one comes into use and a lasting good
+/// opinion of others does not starve it.
+fn is_neglected(server: &Server, wish: &Wish) -> bool {
+    server.held == 0
+        && server.granted_ms < wish.neglected_before_ms
+        && server.cost_permille <= NEGLECT_COST_MAX_PERMILLE
+}
+
+/// Orders servers; the smallest is picked.
+fn rank(server: &Server, wish: &Wish) -> (bool, Standing, bool, u32, u64) {
     let use_permille = server.held * 1_000 / server.open_slots.max(1);
+    let is_far = !wish.data_centre.is_empty() && wish.data_centre != server.data_centre;
+    let cost_permille = server.cost_permille
+        + use_permille * FULL_COST_PERMILLE / 1_000
+        + u32::from(is_far) * FAR_COST_PERMILLE;
     (
         !is_trial(server, wish),
         server.standing,
-        use_permille,
+        !is_neglected(server, wish),
+        cost_permille,
         server.granted_count,
     )
 }
--- /dev/null
+++ b/crates/permit/tests/budget.rs
@@ -0,0 +1,43 @@
+//! Tests of the retry budget.
+
+use {
+    permit::{
+        commands::{note_request, spend},
+        Budget,
+    },
+    quickcheck::quickcheck,
+};
+
+const WINDOW_MS: u64 = 10_000;
+
+quickcheck! {
+    /// In no window, wherever it begins, are there more retries than the share of the requests that the window
+    /// and the one before it held, and the slack.
+    fn spend_never_over_share(gaps_ms: Vec<u16>, percent: u8, slack: u8) -> bool {
+        let (percent, slack) = (u32::from(percent % 101), u32::from(slack % 8));
+        let mut budget = Budget::new();
+        let mut now_ms = 0;
+        let mut events = Vec::new();
+        for gap_ms in gaps_ms {
+            now_ms += u64::from(gap_ms % 700);
+            note_request(&mut budget, WINDOW_MS, now_ms);
+            events.push((now_ms, spend(&mut budget, WINDOW_MS, percent, slack, now_ms)));
+        }
+        events.iter().all(|&(start_ms, _)| {
+            let from = |from_ms: u64| events.iter().filter(move |&&(at_ms, _)| {
+                at_ms >= from_ms && at_ms < start_ms + WINDOW_MS
+            });
+            let retries = from(start_ms).filter(|&&(_, spent)| spent).count();
+            let requests = from(start_ms.saturating_sub(WINDOW_MS)).count();
+            retries as f64 <= requests as f64 * f64::from(percent) / 100.0 + f64::from(slack)
+        })
+    }
+}
+
+#[test]
+fn spend_window_passes() {
+    let mut budget = Budget::new();
+    assert!(spend(&mut budget, WINDOW_MS, 20, 1, 0));
+    assert!(!spend(&mut budget, WINDOW_MS, 20, 1, WINDOW_MS));
+    assert!(spend(&mut budget, WINDOW_MS, 20, 1, WINDOW_MS + 1_000));
+}
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -5,7 +5,7 @@
         commands::{
             drop_silent_waiters, enqueue, expire, give_back, hear, list_server, mark_overdue, take,
         },
-        queries::{ahead, choose, first_present, fits_deadline, held},
+        queries::{ahead, choose, choose_unused, first_present, fits_deadline, held},
         Pool, Refusal, Standing, Wish,
     },
     quickcheck::quickcheck,
@@ -20,7 +20,7 @@
 fn pool(servers: usize, slots: u32) -> Pool {
     let mut pool = Pool::new();
     for number in 0..servers {
-        list_server(&mut pool, &number.to_string(), address(), slots);
+        list_server(&mut pool, &number.to_string(), address(), "a", slots);
     }
     pool
 }
@@ -29,7 +29,7 @@
     Wish {
         idempotent,
         deadline_ms: 1_000,
-        exclude: Vec::new(),
+        ..Wish::default()
     }
 }
 
@@ -124,9 +124,9 @@
     assert_eq!(first_present(&pool, 10), Some(near));
     hear(&mut pool, far, 40, 40);
     assert_eq!(first_present(&pool, 10), Some(far));
-    assert_eq!(ahead(&pool, Some(near)), 1);
+    assert_eq!(ahead(&pool, Some(near), 0), 1);
     drop_silent_waiters(&mut pool, 500);
-    assert_eq!(ahead(&pool, None), 0);
+    assert_eq!(ahead(&pool, None, 0), 0);
 }
 
 #[test]
@@ -139,6 +139,80 @@
     assert!(!fits_deadline(&pool, 10, 0, 200));
 }
 
+#[test]
+fn choose_least_cost() {
+    let mut pool = pool(3, 4);
+    for (index, cost_permille) in [(0, 200), (1, 20), (2, 150)] {
+        let server = pool.servers.get_mut(ServerIndex::from(index));
+        server.expect("listed").cost_permille = cost_permille;
+    }
+    let mut picks = Vec::new();
+    for _ in 0..6 {
+        let choice = choose(&pool, &wish(true)).expect("a slot");
+        take(&mut pool, choice, 0, 100);
+        picks.push(usize::from(choice.server));
+    }
+    // A used server costs more with each request, so the work spreads before the cheapest is full.
+    assert_eq!(picks, [1, 1, 2, 1, 0, 2]);
+}
+
+#[test]
+fn choose_spurned_suspect() {
+    let mut pool = pool(2, 1);
+    set_standing(&mut pool, 0, Standing::Suspect);
+    let patient = Wish {
+        spurns_suspects: true,
+        ..wish(false)
+    };
+    let first = choose(&pool, &patient).expect("the good server");
+    take(&mut pool, first, 0, 100);
+    assert_eq!(choose(&pool, &patient), Err(Refusal::Busy));
+    assert!(choose(&pool, &wish(false)).is_ok());
+}
+
+#[test]
+fn choose_own_data_centre() {
+    let mut pool = pool(1, 4);
+    list_server(&mut pool, "far", address(), "b", 4);
+    let near = |data_centre: &str| Wish {
+        data_centre: data_centre.into(),
+        ..wish(true)
+    };
+    let picked =
+        |data_centre| usize::from(choose(&pool, &near(data_centre)).expect("a slot").server);
+    assert_eq!((picked("a"), picked("b")), (0, 1));
+}
+
+#[test]
+fn choose_unused_few_used() {
+    let mut pool = pool(4, 4);
+    for (index, granted_ms) in [(0, 900), (1, 950), (2, 100), (3, 100)] {
+        let server = pool.servers.get_mut(ServerIndex::from(index));
+        let server = server.expect("listed");
+        server.granted_ms = granted_ms;
+        server.cost_permille = 1_000 - index as u32;
+    }
+    let unused = |percent| choose_unused(&pool, &wish(false), 500, percent);
+    assert_eq!(unused(75).map(|choice| usize::from(choice.server)), Some(3));
+    assert_eq!(unused(50), None);
+}
+
+#[test]
+fn enqueue_urgent_first() {
+    let mut pool = pool(1, 1);
+    let with_priority = |priority| Wish {
+        priority,
+        ..wish(true)
+    };
+    let late = enqueue(&mut pool, with_priority(2), 0);
+    let urgent = enqueue(&mut pool, with_priority(1), 0);
+    let second = enqueue(&mut pool, with_priority(1), 0);
+    assert_eq!(ahead(&pool, Some(urgent), 1), 0);
+    assert_eq!(ahead(&pool, Some(second), 1), 1);
+    assert_eq!(ahead(&pool, Some(late), 2), 2);
+    assert_eq!(ahead(&pool, None, 1), 2);
+}
+
 quickcheck! {
     fn take_never_over_slots(turns: Vec<(bool, u8)>) -> bool {
         let mut pool = pool(3, 2);
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -7,9 +7,11 @@
 mod error;
 mod platform;
 pub mod queries;
+mod source;
 
 pub use crate::{
     commands::Batcher,
     error::{AppendError, ReadError},
-    platform::{Platform, CONNECT_TIMEOUT_MS, IDLE_TIMEOUT_MS},
+    platform::{CallError, Content, Platform, CONNECT_TIMEOUT_MS, IDLE_TIMEOUT_MS},
+    source::{Announce, Change, Cursor, Published, Read, Reading, Source, Withdraw},
 };
--- a/crates/stream/src/platform.rs
+++ b/crates/stream/src/platform.rs
@@ -5,12 +5,15 @@
 
 use {
     bytes::Bytes,
-    http_body_util::Full,
+    http_body_util::{BodyExt, Full},
+    hyper::{header::CONTENT_TYPE, Method, Request, StatusCode},
     hyper_util::{
         client::legacy::{connect::HttpConnector, Client},
         rt::{TokioExecutor, TokioTimer},
     },
+    snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
 };
 
 /// Time allowed for a new connection, in milliseconds.
@@ -18,6 +21,28 @@
 /// Time after which an idle connection is closed, in milliseconds.
 pub const IDLE_TIMEOUT_MS: u64 = 5_000;
 
+/// Why a call gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum CallError {
+    /// The platform could not be connected to; it did nothing.
+    #[snafu(display("the platform can't be connected to"))]
+    Unsent,
+    /// The answer was lost; the call may be executed now or later.
+    #[snafu(display("the platform's answer was lost"))]
+    Lost,
+}
+
+/// Body of a call.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// No body.
+    None,
+    /// JSON text.
+    Json(String),
+    /// Raw bytes.
+    Raw(Bytes),
+}
+
 /// A client of the platform's service; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct Platform {
@@ -40,4 +65,51 @@
             .build(connector);
         Self { client, address }
     }
+
+    /// Calls `path` of the service and waits for at most `limit_ms` for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Unsent`] only if the service certainly did nothing.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Content,
+        limit_ms: u64,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let (kind, bytes) = match body {
+            Content::None => (None, Bytes::new()),
+            Content::Json(text) => (Some("application/json"), Bytes::from(text)),
+            Content::Raw(bytes) => (Some("application/octet-stream"), bytes),
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}/{path}", self.address));
+        if let Some(kind) = kind {
+            request = request.header(CONTENT_TYPE, kind);
+        }
+        let request = request
+            .body(Full::new(bytes))
+            .map_err(|_| CallError::Unsent)?;
+        match timeout(Duration::from_millis(limit_ms), self.exchange(request)).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::Lost),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let answer = match self.client.request(request).await {
+            Ok(answer) => answer,
+            Err(error) if error.is_connect() => return Err(CallError::Unsent),
+            Err(_) => return Err(CallError::Lost),
+        };
+        let status = answer.status();
+        let body = answer.into_body().collect().await;
+        let body = body.map_err(|_| CallError::Lost)?;
+        Ok((status, body.to_bytes()))
+    }
 }
--- a/crates/stream/src/queries/read.rs
+++ b/crates/stream/src/queries/read.rs
@@ -1,12 +1,9 @@
 //! Reads one stretch of a stream, or the list of members.
 
 use {
-    crate::{Platform, ReadError},
+    crate::{Content, Platform, ReadError},
     bytes::Bytes,
-    http_body_util::{BodyExt, Full},
-    hyper::{Request, StatusCode},
-    std::time::Duration,
-    tokio::time::timeout,
+    hyper::{Method, StatusCode},
     wire::{
         from_text,
         generated::{MemberList, ReadAnswer},
@@ -61,29 +58,11 @@
     path: &str,
     limit_ms: u64,
 ) -> Result<(StatusCode, Bytes), ReadError> {
-    let url = format!("http://{}/{path}", platform.address);
-    let request = Request::get(url)
-        .body(Full::new(Bytes::new()))
-        .map_err(|_| ReadError::Away)?;
-    let limit = Duration::from_millis(limit_ms);
-    match timeout(limit, exchange(platform, request)).await {
-        Ok(result) => result,
-        Err(_) => Err(ReadError::Away),
-    }
-}
-
-async fn exchange(
-    platform: &Platform,
-    request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), ReadError> {
-    let answer = platform.client.request(request).await;
-    let answer = answer.map_err(|_| ReadError::Away)?;
-    let status = answer.status();
+    let called = platform.call(Method::GET, path, Content::None, limit_ms);
+    let (status, text) = called.await.map_err(|_| ReadError::Away)?;
     let expected = [StatusCode::OK, StatusCode::GONE, StatusCode::NOT_MODIFIED];
     if !expected.contains(&status) {
         return Err(ReadError::Away);
     }
-    let body = answer.into_body().collect().await;
-    let text = body.map_err(|_| ReadError::Away)?.to_bytes();
     Ok((status, text))
 }
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -67,11 +67,12 @@
     BadRequest = 1102, 400, NotRun, "The request is malformed.";
     BodyTooLarge = 1103, 413, NotRun, "The request's body is larger than the service allows.";
     BodyCut = 1104, 400, Unknown, "The caller's body ended early after part of it was passed on.";
+    CallerLeft = 1105, 499, Unknown, "The caller left before its answer was there.";
     NoConfiguration = 1201, 503, NotRun, "This instance has not learnt a configuration yet.";
     NoServer = 1202, 503, NotRun, "The service has no backend server that may take work.";
     Overloaded = 1203, 503, NotRun, "The request could not have finished within its deadline.";
     RetryBudgetSpent = 1204, 503, NotRun, "All attempts were proved not run and the retry budget is spent.";
-    DeadlineNotRun = 1205, 504, NotRun, "The deadline passed before any backend server was given the request.";
+    DeadlineNotRun = 1205, 503, NotRun, "The deadline passed before any backend server was given the request.";
     Stopping = 1206, 503, NotRun, "This instance is stopping.";
     KeyUnclaimed = 1301, 503, NotRun, "The idempotency key could not be claimed; try again later.";
     KeyTooOld = 1302, 409, NotRun, "The idempotency key is older than the claim window.";
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -9,5 +9,5 @@
     claims::{claim_entries, claim_record},
     configs::{config_entry, config_record, document_from_text, document_text, finding_texts},
     ejections::{ejection_record, ejection_text},
-    members::view,
+    members::{delta, instance, instance_text, sync_answer, view},
 };
--- a/crates/wire/src/convert/configs.rs
+++ b/crates/wire/src/convert/configs.rs
@@ -2,9 +2,13 @@
 
 use {
     crate::generated::{
-        ConfigKind, ConfigRecord, DetectionText, DocumentText, FindingText, RouteText, ServiceText,
+        ConfigKind, ConfigRecord, DetectionText, DocumentText, FindingText, KindText, LimitsText,
+        PartText, RouteText, ServiceText,
+    },
+    config::{
+        Accepted, Decision, Detection, Document, Entry, Finding, Kind, Limits, Part, Proposal,
+        Route, Service,
     },
-    config::{Accepted, Decision, Detection, Document, Entry, Finding, Proposal, Route, Service},
 };
 
 /// Writes a document.
@@ -12,6 +16,7 @@
     DocumentText {
         services: document.services.iter().map(service_text).collect(),
         routes: document.routes.iter().map(route_text).collect(),
+        limits: document.limits.as_ref().map(limits_text),
     }
 }
 
@@ -20,6 +25,7 @@
     Document {
         services: text.services.iter().map(service).collect(),
         routes: text.routes.iter().map(route).collect(),
+        limits: text.limits.as_ref().map(limits),
     }
 }
 
@@ -138,19 +144,74 @@
 }
 
 fn route_text(route: &Route) -> RouteText {
+    let is_split = route.parts.len() > 1;
+    let split = route.parts.iter().filter(|_| is_split).map(part_text);
+    let only = route.parts.first().filter(|_| !is_split);
     RouteText {
+        host: (!route.host.is_empty()).then(|| route.host.clone()),
         prefix: route.prefix.clone(),
         methods: route.methods.clone(),
-        service: route.service.clone(),
-        idempotent: route.idempotent,
+        service: only.map(|part| part.service.clone()),
+        split: split.collect(),
+        kind: match route.kind {
+            Kind::Safe => KindText::Safe,
+            Kind::Unsafe => KindText::Unsafe,
+            Kind::Upload => KindText::Upload,
+        },
+        timeout_ms: route.timeout_ms,
+        target_ms: route.target_ms,
+        priority: Some(route.priority),
+        attempts_max: Some(route.attempts_max),
+    }
+}
+
+fn part_text(part: &Part) -> PartText {
+    PartText {
+        service: part.service.clone(),
+        weight: part.weight,
     }
 }
 
 fn route(text: &RouteText) -> Route {
+    let only = text.service.iter().map(|service| Part {
+        service: service.clone(),
+        weight: 1,
+    });
+    let split = text.split.iter().map(|part| Part {
+        service: part.service.clone(),
+        weight: part.weight,
+    });
     Route {
+        host: text.host.clone().unwrap_or_default(),
         prefix: text.prefix.clone(),
         methods: text.methods.clone(),
-        service: text.service.clone(),
-        idempotent: text.idempotent,
+        parts: only.chain(split).collect(),
+        kind: match text.kind {
+            KindText::Safe => Kind::Safe,
+            KindText::Unsafe => Kind::Unsafe,
+            KindText::Upload => Kind::Upload,
+        },
+        timeout_ms: text.timeout_ms,
+        target_ms: text.target_ms,
+        priority: text.priority.unwrap_or_default(),
+        attempts_max: text.attempts_max.unwrap_or(Route::ATTEMPTS_MAX),
+    }
+}
+
+fn limits_text(limits: &Limits) -> LimitsText {
+    LimitsText {
+        header_bytes: limits.header_bytes,
+        body_bytes: limits.body_bytes,
+        header_timeout_ms: limits.header_timeout_ms,
+        idle_timeout_ms: limits.idle_timeout_ms,
+    }
+}
+
+fn limits(text: &LimitsText) -> Limits {
+    Limits {
+        header_bytes: text.header_bytes,
+        body_bytes: text.body_bytes,
+        header_timeout_ms: text.header_timeout_ms,
+        idle_timeout_ms: text.idle_timeout_ms,
     }
 }
--- a/crates/wire/src/convert/members.rs
+++ b/crates/wire/src/convert/members.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        generated::{ListedInstance, ListedServer, MemberList, PresenceText},
+        generated::{ListedInstance, ListedServer, MemberList, PresenceText, SyncAnswer},
         CodecError,
     },
-    member::{BackendServer, Instance, Presence, View},
+    member::{BackendServer, Delta, Instance, Presence, View, CAPACITY_PERMILLE},
     std::net::SocketAddr,
 };
 
@@ -24,23 +24,115 @@
     Ok(View::new(list.version, instances, servers))
 }
 
-fn instance(text: &ListedInstance) -> Result<Instance, CodecError> {
+/// Reads what another instance says has changed.
+///
+/// # Errors
+///
+/// The first address that is not an IP number and a port.
+pub fn delta(answer: &SyncAnswer) -> Result<Delta, CodecError> {
+    Ok(Delta {
+        version: answer.list_version,
+        whole: answer.whole,
+        settled: answer.settled,
+        servers: answer
+            .servers
+            .iter()
+            .map(server)
+            .collect::<Result<_, _>>()?,
+        instances: answer
+            .instances
+            .iter()
+            .map(instance)
+            .collect::<Result<_, _>>()?,
+        gone_servers: answer.gone_servers.clone(),
+        gone_instances: answer.gone_instances.clone(),
+    })
+}
+
+/// Writes what has changed for another instance; the configuration is added by the caller.
+pub fn sync_answer(delta: &Delta, feed: u64, source_age_ms: u64) -> SyncAnswer {
+    SyncAnswer {
+        feed,
+        config: None,
+        list_version: delta.version,
+        whole: delta.whole,
+        settled: delta.settled,
+        source_age_ms,
+        instances: delta.instances.iter().map(instance_text).collect(),
+        servers: delta.servers.iter().map(server_text).collect(),
+        gone_instances: delta.gone_instances.clone(),
+        gone_servers: delta.gone_servers.clone(),
+    }
+}
+
+/// Writes one instance as listed.
+pub fn instance_text(instance: &Instance) -> ListedInstance {
+    ListedInstance {
+        name: instance.name.clone(),
+        data_centre: instance.data_centre.clone(),
+        region: Some(instance.region.clone()),
+        rpc_address: instance.rpc_address.to_string(),
+        presence: presence_text(instance.presence),
+        capacity_permille: Some(instance.capacity_permille),
+        incarnation: Some(instance.incarnation),
+    }
+}
+
+fn server_text(server: &BackendServer) -> ListedServer {
+    ListedServer {
+        name: server.name.clone(),
+        service: server.service.clone(),
+        data_centre: server.data_centre.clone(),
+        region: Some(server.region.clone()),
+        address: server.address.to_string(),
+        slots: server.slots,
+        presence: presence_text(server.presence),
+        born_ms: Some(server.born_ms),
+        sequence: Some(server.sequence),
+        cold_ms: Some(server.cold_ms),
+    }
+}
+
+fn presence_text(presence: Presence) -> PresenceText {
+    match presence {
+        Presence::Live => PresenceText::Live,
+        Presence::Leaving => PresenceText::Leaving,
+    }
+}
+
+/// Reads one instance as listed.
+///
+/// # Errors
+///
+/// The address is not an IP number and a port.
+pub fn instance(text: &ListedInstance) -> Result<Instance, CodecError> {
+    let address = address(&text.rpc_address)?;
+    let plain = Instance::new(&text.name, &text.data_centre, address);
     Ok(Instance {
-        name: text.name.clone(),
-        data_centre: text.data_centre.clone(),
-        rpc_address: address(&text.rpc_address)?,
+        region: text.region.clone().unwrap_or_else(|| plain.region.clone()),
         presence: presence(text.presence),
+        capacity_permille: text.capacity_permille.unwrap_or(CAPACITY_PERMILLE),
+        incarnation: text.incarnation.unwrap_or_default(),
+        ..plain
     })
 }
 
 fn server(text: &ListedServer) -> Result<BackendServer, CodecError> {
+    let address = address(&text.address)?;
+    let plain = BackendServer::new(
+        &text.name,
+        &text.service,
+        &text.data_centre,
+        address,
+        text.slots,
+    );
     Ok(BackendServer {
-        name: text.name.clone(),
-        service: text.service.clone(),
-        data_centre: text.data_centre.clone(),
-        address: address(&text.address)?,
-        slots: text.slots,
+        region: text.region.clone().unwrap_or_else(|| plain.region.clone()),
         presence: presence(text.presence),
+        born_ms: text.born_ms.unwrap_or_default(),
+        sequence: text.sequence.unwrap_or_default(),
+        cold_ms: text.cold_ms.unwrap_or_default(),
+        ..plain
     })
 }
 
