Judge slow requests by the pool's tail, keep gone servers gone, and let the budget serve errors

Ruled out: owners that do not answer in the first second (no local choice in the log).

Change: the pool's tail (one answer in twenty is longer), known from 20 answers on, is what ages, late answers and hedges are measured by; gone servers are passed on with their last report, and a late write in place of a dropped record names nobody; asks under way count as attempts; one reader in place of two; the way of a body to another data centre costs by its size; owners give 90 % of the share and 70 % of the slack; Retry-After of 150 to 225 ms after a refusal by servers.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -162,6 +162,7 @@
         remaining_ms: left_ms(ask.deadline),
         target_ms: ask.target.map_or(0, left_ms),
         priority: ask.priority,
+        body_bytes: ask.body_bytes,
         sent: ask.sent,
         idempotent: ask.idempotent,
         may_queue,
--- a/crates/daemon/src/commands/logging.rs
+++ b/crates/daemon/src/commands/logging.rs
@@ -5,7 +5,7 @@
 
 use {
     fern::{Dispatch, Output},
-    log::{LevelFilter, Record, SetLoggerError},
+    log::{Level, LevelFilter, Record, SetLoggerError},
     serde_json::json,
     std::{
         io::{self, Write},
@@ -22,6 +22,9 @@
 /// Target prefix of records whose message is itself a JSON object.
 const DECISION_PREFIX: &str = "decision.";
 
+/// Crates of this project that log.
+const OWN_TARGETS: [&str; 6] = ["daemon", "entry", "feed", "front", "platform", "stream"];
+
 /// Starts logging for this process.
 ///
 /// # Errors
@@ -39,19 +42,18 @@
             );
             out.finish(format_args!("{line}"));
         })
-        .level(LevelFilter::Warn)
-        .level_for("decision", level)
-        .level_for("decision.routing", level)
-        .level_for("decision.placement", level)
-        .level_for("decision.config", level)
-        .level_for("daemon", level)
-        .level_for("entry", level)
-        .level_for("front", level)
-        .level_for("stream", level)
+        .level(level)
+        .filter(|metadata| metadata.level() <= Level::Warn || is_own(metadata.target()))
         .chain(Output::call(send(start_writer())))
         .apply()
 }
 
+/// Libraries log warnings and errors only.
+fn is_own(target: &str) -> bool {
+    let first = target.split("::").next().unwrap_or(target);
+    target.starts_with(DECISION_PREFIX) || OWN_TARGETS.contains(&first)
+}
+
 /// Returns the function that hands a formatted line to the writer.
 fn send(lines: SyncSender<String>) -> impl Fn(&Record<'_>) + Send + Sync + 'static {
     let dropped = AtomicU64::new(0);
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -28,9 +28,9 @@
 const PERMIT_MARGIN_MS: u64 = 500;
 
 /// Part of the fleet's slack of retries that owners give, in percent.
-const SLACK_GIVEN_PERCENT: u32 = 40;
+const SLACK_GIVEN_PERCENT: u32 = 70;
 /// Part of a service's share of retries that owners give, in percent.
-const SHARE_GIVEN_PERCENT: u32 = 80;
+const SHARE_GIVEN_PERCENT: u32 = 90;
 /// Time without work after which a good server is given some by a request that may be repeated, in milliseconds.
 const NEGLECT_SAFE_MS: u64 = 800;
 /// The same for any request, in milliseconds: a new server is to have work within four seconds.
@@ -157,6 +157,7 @@
         target_ms: now_ms + ask.target_ms,
         priority: ask.priority,
         data_centre: ask.data_centre.clone(),
+        body_bytes: ask.body_bytes,
         spurns_suspects: !ask.may_queue || (short_wait && queries::has_good(&state.pool)),
         neglected_before_ms: now_ms.saturating_sub(neglect_ms),
         exclude: excluded(state, &ask.exclude),
--- a/crates/daemon/src/commands/pool_tick.rs
+++ b/crates/daemon/src/commands/pool_tick.rs
@@ -14,7 +14,7 @@
     log::info,
     outlier::{
         commands::{observe, observe_flight, plan_trials},
-        queries::{self, pool_late_limit_us},
+        queries::{self, late_limit_us},
         Evidence,
     },
     permit::{commands, Standing},
@@ -96,7 +96,7 @@
 
 /// Holds old requests in flight against their servers: overdue ones once and for all, others while they last.
 fn find_overdue(state: &mut PoolState, now_ms: u64) {
-    let Some(limit_us) = pool_late_limit_us(&state.health) else {
+    let Some(limit_us) = late_limit_us(&state.health) else {
         return;
     };
     let sensitivity = state.sensitivity;
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -20,8 +20,12 @@
 /// Header that carries the result code.
 const CODE_HEADER: HeaderName = HeaderName::from_static("catkinhitch-code");
 
-/// Time after which a refused caller may try again where nothing better is known, in milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
+/// Time after which a caller may try again when servers refused its request, in milliseconds: another try costs no
+/// retry of the fleet's, and slots come free within a fraction of a service time.
+const RETRY_SOON_MS: u64 = 150;
+/// Time after which a caller may try again when there is nothing to serve it with, in milliseconds: about the time
+/// in which an instance learns of a configuration or of a server.
+const RETRY_LATER_MS: u64 = 500;
 
 /// A whole answer that can be given more than once.
 #[derive(Clone, Debug)]
@@ -107,7 +111,7 @@
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     if code.http_status() == 503 {
-        let after_ms = retry_after_ms.unwrap_or(RETRY_AFTER_MS);
+        let after_ms = retry_after_ms.unwrap_or_else(|| default_retry_ms(code));
         let after = HeaderValue::from_str(&seconds_text(after_ms));
         if let Ok(after) = after {
             response.headers_mut().insert(RETRY_AFTER, after);
@@ -116,6 +120,17 @@
     mark(response, code)
 }
 
+/// Spread by a half, so that callers who were refused together do not come back together.
+fn default_retry_ms(code: ResultCode) -> u64 {
+    let least_ms = match code {
+        ResultCode::Overloaded | ResultCode::RetryBudgetSpent | ResultCode::DeadlineNotRun => {
+            RETRY_SOON_MS
+        }
+        _ => RETRY_LATER_MS,
+    };
+    least_ms + fastrand::u64(0..=least_ms / 2)
+}
+
 /// Writes a time in seconds, with a fraction only if there is one.
 fn seconds_text(ms: u64) -> String {
     if ms.is_multiple_of(1_000) {
--- a/crates/entry/src/commands/attempts.rs
+++ b/crates/entry/src/commands/attempts.rs
@@ -47,6 +47,8 @@
     /// Servers that are not to be tried again.
     tried: Vec<String>,
     asked: u32,
+    /// Asks for a slot that are not answered yet.
+    asking: u32,
     sent: u32,
     /// Exchanges that may have run, those in flight included.
     exchanges: u32,
@@ -98,6 +100,7 @@
             in_flight: Vec::new(),
             tried: Vec::new(),
             asked: 0,
+            asking: 0,
             sent: 0,
             exchanges: 0,
             may_have_run: false,
@@ -111,6 +114,7 @@
     /// Starts to acquire a slot for another attempt.
     fn launch(&mut self, reason: &'static str, pause: Duration) {
         self.asked += 1;
+        self.asking += 1;
         let plan = &self.job.plan;
         let ask = AcquireAsk {
             service: plan.service.clone(),
@@ -118,6 +122,7 @@
             deadline: plan.deadline,
             target: plan.target,
             priority: plan.priority,
+            body_bytes: self.job.body.held_bytes(),
             sent: self.sent,
             exclude: self.tried.clone(),
         };
@@ -132,8 +137,12 @@
 
     fn take(&mut self, event: Event) -> Option<Answer> {
         match event {
-            Event::Granted(Ok(grant), reason) => self.begin(grant, reason),
+            Event::Granted(Ok(grant), reason) => {
+                self.asking -= 1;
+                self.begin(grant, reason)
+            }
             Event::Granted(Err(refused), reason) => {
+                self.asking -= 1;
                 self.note(None, reason);
                 if refused.code == ResultCode::RetryBudgetSpent {
                     (self.job.path.note_retry)(&self.job.plan.service, false);
@@ -301,7 +310,7 @@
     /// Tells whether another attempt may be asked for.
     fn may_ask(&self) -> bool {
         let attempts_max = self.job.plan.attempts_max;
-        self.sent < attempts_max
+        self.sent + self.asking < attempts_max
             && self.asked < attempts_max + UNREACHED_MAX
             && self.job.body.can_send()
     }
--- a/crates/entry/src/commands/intake.rs
+++ b/crates/entry/src/commands/intake.rs
@@ -1,7 +1,7 @@
 //! Takes in a request's body: short ones are held so that they can be sent again, long ones are streamed.
 
 use {
-    crate::{Body, BoxedBody, OnceBody, Plan},
+    crate::{plan::HELD_UPLOAD_BYTES, Body, BoxedBody, OnceBody, Plan},
     bytes::{Bytes, BytesMut},
     futures_util::{stream, TryStreamExt},
     http_body_util::{BodyExt, StreamBody},
@@ -18,9 +18,6 @@
     types::ResultCode,
 };
 
-/// Largest request body that is held, in bytes; a held one takes no slot while its caller sends it, and a hundred
-/// of them fit in a quarter of the smallest instance's memory.
-const HELD_UPLOAD_BYTES: u64 = 512 * 1024;
 /// Time without a byte after which a caller's body counts as cut, in milliseconds.
 const SILENT_CALLER_MS: u64 = 10_000;
 
--- a/crates/entry/src/commands/permit.rs
+++ b/crates/entry/src/commands/permit.rs
@@ -88,7 +88,7 @@
 
     fn is_overdue(&self) -> bool {
         let usual_ms = self.grant.hedge_after_ms;
-        usual_ms > 0 && self.taken.elapsed() > Duration::from_millis(2 * usual_ms)
+        usual_ms > 0 && self.taken.elapsed() > Duration::from_millis(usual_ms)
     }
 }
 
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -83,6 +83,10 @@
     pub hold_bytes: u64,
 }
 
+/// Largest request body that is held, in bytes; a held one takes no slot while its caller sends it, and a hundred
+/// of them fit in a quarter of the smallest instance's memory.
+pub(crate) const HELD_UPLOAD_BYTES: u64 = 512 * 1024;
+
 /// A streamed body, taken by the first attempt that gets a connection.
 #[derive(Clone, Debug)]
 pub struct OnceBody {
@@ -118,6 +122,14 @@
 }
 
 impl Body {
+    /// Returns the size of the body in bytes, as far as it is held.
+    pub fn held_bytes(&self) -> u64 {
+        match self {
+            Self::Held(bytes) => bytes.len() as u64,
+            Self::Once(_) => HELD_UPLOAD_BYTES,
+        }
+    }
+
     /// Tells whether another attempt can send the whole body.
     pub fn can_send(&self) -> bool {
         match self {
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -43,6 +43,8 @@
     pub target: Option<Instant>,
     /// Rank when slots are short; 0 is the most urgent.
     pub priority: u32,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
     /// Servers that were sent the request before; from 1 on the slot is a retry.
     pub sent: u32,
     /// Servers already tried.
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -58,8 +58,8 @@
             changed |= did;
         }
         if reading.whole {
-            let named: HashSet<&str> = reading.changes.iter().map(|c| c.name.as_str()).collect();
-            changed |= retain_servers(roster, now_ms, |name| named.contains(name));
+            let reports = reading.changes.iter().filter_map(|c| c.value.as_ref());
+            changed |= retain_servers(roster, now_ms, reports);
         }
         if reading.whole || lists.as_of_ms.is_some() {
             lists.as_of_ms = Some(now_ms);
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -1,8 +1,11 @@
 //! Commands that change the roster; each returns whether others must hear of it.
 
-use crate::{
-    roster::{Grave, Known},
-    BackendServer, Delta, Instance, Roster, Stamp,
+use {
+    crate::{
+        roster::{Grave, Known},
+        BackendServer, Delta, Instance, Roster, Stamp,
+    },
+    std::collections::HashSet,
 };
 
 /// Time after the platform's return within which entries that lapsed come back, in milliseconds; the platform
@@ -11,12 +14,16 @@
 /// Graves kept; a receiver that is further behind is given the whole list.
 const GRAVES_MAX: usize = 1_024;
 
-/// Takes in a server's report unless a newer one of the same server is known.
-pub fn report_server(roster: &mut Roster, server: &BackendServer) -> bool {
-    let stamp = Stamp {
+fn stamp_of(server: &BackendServer) -> Stamp {
+    Stamp {
         born_ms: server.born_ms,
         sequence: server.sequence,
-    };
+    }
+}
+
+/// Takes in a server's report unless a newer one of the same server is known.
+pub fn report_server(roster: &mut Roster, server: &BackendServer) -> bool {
+    let stamp = stamp_of(server);
     if is_stale(roster, &server.name, true, stamp) {
         return false;
     }
@@ -27,6 +34,8 @@
         known.stamp = stamp;
         known.gone_at_ms = None;
         if same_but_counts(&known.value, server) {
+            // Nothing to hear of, but whoever asks for the server later is to know how new this is.
+            known.value.sequence = server.sequence;
             return false;
         }
     }
@@ -88,13 +97,25 @@
     true
 }
 
-/// Drops the servers that a whole reading of the platform lacks, as [`drop_server`] does.
-pub fn retain_servers<Keep>(roster: &mut Roster, now_ms: u64, keep: Keep) -> bool
+/// Drops the servers that a whole reading of the platform lacks, as [`drop_server`] does. One whose report is older
+/// than a known one is missing as well: a write executed late stands there in place of a dropped record, and a
+/// server that lives overwrites it with its next report.
+pub fn retain_servers<'a, Reports>(roster: &mut Roster, now_ms: u64, reports: Reports) -> bool
 where
-    Keep: Fn(&str) -> bool,
+    Reports: Iterator<Item = &'a BackendServer>,
 {
-    let names = roster.servers.keys().filter(|name| !keep(name));
-    let missing: Vec<String> = names.cloned().collect();
+    let current: HashSet<&str> = reports
+        .filter(|report| {
+            let known = roster.servers.get(&report.name);
+            known.is_some_and(|known| !stamp_of(report).is_older(known.stamp))
+        })
+        .map(|report| report.name.as_str())
+        .collect();
+    let names = roster.servers.keys();
+    let missing: Vec<String> = names
+        .filter(|name| !current.contains(name.as_str()))
+        .cloned()
+        .collect();
     missing
         .iter()
         .fold(false, |any, name| drop_server(roster, name, now_ms) | any)
@@ -137,7 +158,13 @@
     for instance in delta.instances.iter().filter(|other| other.name != own) {
         any |= report_instance(roster, instance);
     }
-    for name in &delta.gone_servers {
+    for (name, stamp) in &delta.gone_servers {
+        if let Some(known) = roster.servers.get_mut(name) {
+            if stamp.is_older(known.stamp) {
+                continue;
+            }
+            known.stamp = *stamp;
+        }
         any |= remove_server(roster, name);
     }
     for name in delta.gone_instances.iter().filter(|name| *name != own) {
--- a/crates/member/src/queries/roster.rs
+++ b/crates/member/src/queries/roster.rs
@@ -27,10 +27,8 @@
     let gone = |is_server: bool| {
         let graves = roster.graves.iter();
         graves
-            .filter(|grave| !whole && grave.changed > after && grave.is_server == is_server)
-            .filter(|grave| !is_listed(roster, &grave.name, is_server))
-            .map(|grave| grave.name.clone())
-            .collect()
+            .filter(move |grave| !whole && grave.changed > after && grave.is_server == is_server)
+            .filter(move |grave| !is_listed(roster, &grave.name, is_server))
     };
     Delta {
         version: roster.version,
@@ -38,8 +36,10 @@
         settled: is_settled(roster, now_ms),
         servers: servers.map(|known| known.value.clone()).collect(),
         instances: instances.map(|known| known.value.clone()).collect(),
-        gone_servers: gone(true),
-        gone_instances: gone(false),
+        gone_servers: gone(true)
+            .map(|grave| (grave.name.clone(), grave.stamp))
+            .collect(),
+        gone_instances: gone(false).map(|grave| grave.name.clone()).collect(),
     }
 }
 
--- a/crates/member/src/queries/view.rs
+++ b/crates/member/src/queries/view.rs
@@ -10,7 +10,7 @@
 const RENDEZVOUS_SEED: u64 = 0x6361_746b;
 /// Task of reading the platform for others.
 const FEED_TASK: &str = "feed";
-/// Instances that read the platform for others; the second covers for the first.
+/// Instances that others turn to; the first reads the platform, the second hears from it and covers for it.
 const FEED_ROOTS: usize = 2;
 /// Live instances from which on one of each data centre passes changes on; below, two can serve all the others.
 const RELAY_FLEET: usize = 64;
@@ -49,13 +49,10 @@
 /// itself. Few read the platform; in a large fleet one instance of each data centre passes on to the rest of it.
 pub fn feeds<'a>(view: &'a View, own: &str) -> Vec<&'a Instance> {
     let mut feeds = task_order(view, FEED_TASK, FEED_ROOTS);
-    if feeds.iter().any(|instance| instance.name == own) {
+    if feeds.first().is_some_and(|first| first.name == own) {
         return Vec::new();
     }
-    // Half of the fleet prefers the second.
-    if feeds.len() > 1 && raw_weight(own, FEED_TASK, "").is_multiple_of(2) {
-        feeds.swap(0, 1);
-    }
+    feeds.retain(|instance| instance.name != own);
     if let Some(relay) = relay(view, own) {
         feeds.insert(0, relay);
     }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -79,8 +79,8 @@
     pub servers: Vec<BackendServer>,
     /// New and changed instances.
     pub instances: Vec<Instance>,
-    /// Names of servers that are gone.
-    pub gone_servers: Vec<String>,
+    /// Names of servers that are gone, each with its last report.
+    pub gone_servers: Vec<(String, Stamp)>,
     /// Names of instances that are gone.
     pub gone_instances: Vec<String>,
 }
--- a/crates/outlier/src/commands.rs
+++ b/crates/outlier/src/commands.rs
@@ -4,6 +4,7 @@
 mod observe;
 mod standing;
 
+pub(crate) use self::observe::TAIL_COUNT_LEAST;
 pub use self::{
     fold::{fold, skip_to},
     observe::{observe, observe_flight},
--- a/crates/outlier/src/commands/observe.rs
+++ b/crates/outlier/src/commands/observe.rs
@@ -1,7 +1,7 @@
 //! Takes in the outcome of one request.
 
 use {
-    crate::{health::PRIOR_LOG_ODDS, queries, Evidence, Health, Sensitivity, ServerHealth},
+    crate::{health::PRIOR_LOG_ODDS, queries, Evidence, Health, Sensitivity, ServerHealth, Tail},
     types::ServerIndex,
 };
 
@@ -29,8 +29,16 @@
 const SUSPECT_HOLD_MAX_MS: u64 = 8_000;
 /// Factor by which a peer's share of bad outcomes is raised before it is taken as usual.
 const PEER_SHARE_FACTOR: f64 = 1.5;
-/// Least usual time that ages are held against, in microseconds.
-const USUAL_LEAST_US: f64 = 2_500.0;
+/// Share of whole answers that take longer than the pool's tail.
+const TAIL_SHARE: f64 = 0.05;
+/// Step of the running tail; a longer answer moves it up by nearly this share, a shorter one down by a twentieth.
+const TAIL_STEP: f64 = 0.08;
+/// Whole answers from which the tail is known.
+pub(crate) const TAIL_COUNT_LEAST: u64 = 20;
+/// Least tail that ages are held against, in microseconds.
+const TAIL_LEAST_US: f64 = 10_000.0;
+/// Share of requests that may take however long at a usual server: a few always do.
+const SURVIVAL_LEAST: f64 = 0.005;
 /// Whole answers during which a new server may be slow.
 const COLD_ANSWERS: u64 = 10;
 /// Good outcomes in a row that end the first suspicion.
@@ -40,7 +48,7 @@
 /// Time within which a new suspicion counts as flapping, in milliseconds.
 const FLAP_WINDOW_MS: u64 = 60_000;
 /// Time to the first trial of a suspect, in milliseconds; doubles with each trial that fails.
-const TRIAL_FIRST_MS: u64 = 250;
+const TRIAL_FIRST_MS: u64 = 1_000;
 /// Longest time between trials, in milliseconds.
 const TRIAL_MAX_MS: u64 = 16_000;
 
@@ -53,7 +61,7 @@
     now_ms: u64,
 ) {
     let peer_share = queries::peer_bad_share(health, server);
-    let late_us = queries::late_limit_us(health, server);
+    let late_us = queries::late_limit_us(health);
     let Some(entry) = health.servers.get_mut(server) else {
         return;
     };
@@ -62,13 +70,17 @@
             let cold = entry.whole_count < COLD_ANSWERS;
             let late = late_us.is_some_and(|limit_us| first_byte_us as f64 > limit_us);
             learn_usual(entry, first_byte_us);
+            learn_tail(&mut health.tail, first_byte_us);
             if late && !cold {
                 bad(entry, peer_share, USUAL_LATE_SHARE);
             } else if !late {
                 good(entry, peer_share, now_ms);
             }
         }
-        Evidence::LateWhole { first_byte_us } => learn_usual(entry, first_byte_us),
+        Evidence::LateWhole { first_byte_us } => {
+            learn_usual(entry, first_byte_us);
+            learn_tail(&mut health.tail, first_byte_us);
+        }
         Evidence::Failed => bad(entry, peer_share, USUAL_FAILED_SHARE),
         Evidence::Overdue => bad(entry, peer_share, USUAL_FAILED_SHARE),
         Evidence::Shed => entry.llr += if peer_share.is_some() { SHED_LLR } else { 0.0 },
@@ -80,26 +92,25 @@
 
 /// Weighs the ages of the requests in flight at `server`, given in microseconds.
 ///
-/// An age is as likely at a usual server as half to the power of its count of usual times; a hung request
-/// is evidence long before its timeout.
+/// At a usual server one request in twenty outlasts the pool's tail, one in four hundred twice that, and so on, but
+/// some always do; a hung request is evidence long before its timeout.
 pub fn observe_flight(health: &mut Health, server: ServerIndex, ages_us: &[f64], now_ms: u64) {
     let peer_share = queries::peer_bad_share(health, server);
-    let usual_us = queries::peer_usual_us(health, server);
+    let tail_us = queries::known_tail_us(health);
     let Some(entry) = health.servers.get_mut(server) else {
         return;
     };
-    entry.flight_llr = match (peer_share, usual_us) {
-        (Some(peer_share), Some(usual_us)) => {
-            let least = usual_share(peer_share, USUAL_FAILED_SHARE);
-            let ratio = |age_us: &f64| {
-                let survival = 0.5_f64
-                    .powf(age_us / usual_us.max(USUAL_LEAST_US))
-                    .max(least);
-                (FAULTY_BAD_SHARE / survival).ln().max(0.0)
-            };
-            ages_us.iter().map(ratio).sum()
-        }
-        _ => 0.0,
+    entry.flight_llr = if let (Some(_), Some(tail_us)) = (peer_share, tail_us) {
+        let ratio = |age_us: &f64| {
+            let survival = TAIL_SHARE.powf(age_us / tail_us.max(TAIL_LEAST_US));
+            (FAULTY_BAD_SHARE / survival.max(SURVIVAL_LEAST))
+                .ln()
+                .max(0.0)
+        };
+        let overdue = ages_us.iter().filter(|age_us| **age_us > tail_us);
+        overdue.map(ratio).sum()
+    } else {
+        0.0
     };
     update_suspicion(entry, peer_share.is_some(), now_ms);
 }
@@ -143,6 +154,19 @@
     };
 }
 
+/// The first answers are the shortest ones, so until some have come the tail is their longest.
+fn learn_tail(tail: &mut Tail, first_byte_us: u64) {
+    let sample_us = (first_byte_us as f64).max(1.0);
+    tail.count += 1;
+    tail.tail_us = if tail.count <= TAIL_COUNT_LEAST {
+        tail.tail_us.max(sample_us)
+    } else if sample_us > tail.tail_us {
+        tail.tail_us * (1.0 + TAIL_STEP * (1.0 - TAIL_SHARE))
+    } else {
+        tail.tail_us * (1.0 - TAIL_STEP * TAIL_SHARE)
+    };
+}
+
 fn usual_share(peer_share: f64, least: f64) -> f64 {
     (peer_share * PEER_SHARE_FACTOR).max(least)
 }
--- a/crates/outlier/src/health.rs
+++ b/crates/outlier/src/health.rs
@@ -150,11 +150,23 @@
     }
 }
 
+/// Time to the first byte that one whole answer of a pool in twenty exceeds. Requests of different kinds share a
+/// pool, so a multiple of a median says little about the long ones.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tail {
+    /// The time, in microseconds.
+    pub tail_us: f64,
+    /// Whole answers that it was learnt from.
+    pub count: u64,
+}
+
 /// The evidence about all servers of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     /// Indexed as the pool's servers are.
     pub servers: EntityMap<ServerIndex, ServerHealth>,
+    /// How long the pool's whole answers take at most, but for a few.
+    pub tail: Tail,
 }
 
 impl Health {
--- a/crates/outlier/src/lib.rs
+++ b/crates/outlier/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use crate::{
     ejections::{Ejected, Ejections, Record, RecordKind, COUNT_MARGIN_MS, EJECTION_TTL_MS},
-    health::{Evidence, Health, Opinion, Sensitivity, ServerHealth},
+    health::{Evidence, Health, Opinion, Sensitivity, ServerHealth, Tail},
 };
--- a/crates/outlier/src/queries/compare.rs
+++ b/crates/outlier/src/queries/compare.rs
@@ -1,14 +1,15 @@
 //! Compares a server with the rest of its pool.
 
 use {
-    crate::{Health, Opinion, Sensitivity},
+    crate::{commands::TAIL_COUNT_LEAST, Health, Opinion, Sensitivity},
     types::ServerIndex,
 };
 
-/// Multiple of the usual time from which an answer is late.
-const LATE_FACTOR: f64 = 8.0;
-/// Multiple of the usual time after which a second try is worth its cost.
-const HEDGE_FACTOR: f64 = 8.0;
+/// Multiple of the pool's tail from which an answer is late.
+const LATE_FACTOR: f64 = 2.5;
+/// Multiple of the pool's tail after which a second try is worth its cost; retries after errors need the budget
+/// more.
+const HEDGE_FACTOR: f64 = 1.5;
 /// Least time from which an answer is late, in microseconds.
 const LATE_LEAST_US: f64 = 20_000.0;
 
@@ -61,14 +62,9 @@
         .collect()
 }
 
-/// Returns the time from which an answer of `server` is late, in microseconds, by its peers' usual time.
-pub fn late_limit_us(health: &Health, server: ServerIndex) -> Option<f64> {
-    limit(median_usual_us(health, Some(server)))
-}
-
-/// Returns the time from which an answer of any server of the pool is late, in microseconds.
-pub fn pool_late_limit_us(health: &Health) -> Option<f64> {
-    limit(median_usual_us(health, None))
+/// Returns the time from which an answer of the pool is late, in microseconds.
+pub fn late_limit_us(health: &Health) -> Option<f64> {
+    limit(health, LATE_FACTOR)
 }
 
 /// Returns the usual time to the first byte of the server's peers, in microseconds.
@@ -78,7 +74,7 @@
 
 /// Returns the time after which a request in flight is worth a second try, in microseconds.
 pub fn hedge_limit_us(health: &Health) -> Option<f64> {
-    usual_us(health).map(|usual_us| (usual_us * HEDGE_FACTOR).max(LATE_LEAST_US))
+    limit(health, HEDGE_FACTOR)
 }
 
 /// Returns the pool's usual time to the first byte, in microseconds.
@@ -86,8 +82,13 @@
     median_usual_us(health, None)
 }
 
-fn limit(usual_us: Option<f64>) -> Option<f64> {
-    usual_us.map(|usual_us| (usual_us * LATE_FACTOR).max(LATE_LEAST_US))
+fn limit(health: &Health, factor: f64) -> Option<f64> {
+    known_tail_us(health).map(|tail_us| (tail_us * factor).max(LATE_LEAST_US))
+}
+
+/// Returns the pool's tail, once enough answers have come to know it.
+pub(crate) fn known_tail_us(health: &Health) -> Option<f64> {
+    (health.tail.count >= TAIL_COUNT_LEAST).then_some(health.tail.tail_us)
 }
 
 fn median_usual_us(health: &Health, except: Option<ServerIndex>) -> Option<f64> {
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -95,6 +95,8 @@
     pub priority: u32,
     /// Data centre of the asker, whose servers are preferred.
     pub data_centre: String,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
     /// A good server that got no work since is preferred, in milliseconds of the owner's clock.
     pub neglected_before_ms: u64,
     /// Whether to wait for a better server rather than take a suspect.
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -163,9 +163,14 @@
 /// What a fully used server costs beside an idle one, in thousandths of a lost request: servers slow down when
 /// they are nearly full, and work lost with one server is less when it is spread.
 const FULL_COST_PERMILLE: u32 = 300;
-/// What a server of another data centre costs, in thousandths of a lost request: a way of a millisecond or two, and
-/// bytes between data centres that are paid for.
+/// What a server of another data centre costs, in thousandths of a lost request: a way of a millisecond or two, and an
+/// answer of some kilobytes between data centres.
 const FAR_COST_PERMILLE: u32 = 20;
+/// Size of a body that costs one thousandth of a lost request to carry to another data centre, in bytes; both users
+/// pay for the bytes, at about a sixth of a request's worth for an upload of 60 kB.
+const FAR_BYTES_A_PERMILLE: u64 = 400;
+/// Most that the way of a body to another data centre costs, in thousandths of a lost request.
+const FAR_BODY_COST_MAX_PERMILLE: u64 = 200;
 
 /// Expected cost from which a server is not tried for want of work, in thousandths of a lost request.
 const NEGLECT_COST_MAX_PERMILLE: u32 = 350;
@@ -182,9 +187,11 @@
 fn rank(server: &Server, wish: &Wish) -> (bool, Standing, bool, u32, u64) {
     let use_permille = server.held * 1_000 / server.open_slots.max(1);
     let is_far = !wish.data_centre.is_empty() && wish.data_centre != server.data_centre;
+    let body_permille = (wish.body_bytes / FAR_BYTES_A_PERMILLE).min(FAR_BODY_COST_MAX_PERMILLE);
+    let far_permille = FAR_COST_PERMILLE + body_permille as u32;
     let cost_permille = server.cost_permille
         + use_permille * FULL_COST_PERMILLE / 1_000
-        + u32::from(is_far) * FAR_COST_PERMILLE;
+        + u32::from(is_far) * far_permille;
     (
         !is_trial(server, wish),
         server.standing,
--- a/crates/wire/src/convert/members.rs
+++ b/crates/wire/src/convert/members.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        generated::{ListedInstance, ListedServer, MemberList, PresenceText, SyncAnswer},
+        generated::{
+            GoneServer, ListedInstance, ListedServer, MemberList, PresenceText, SyncAnswer,
+        },
         CodecError,
     },
-    member::{BackendServer, Delta, Instance, Presence, View, CAPACITY_PERMILLE},
+    member::{BackendServer, Delta, Instance, Presence, Stamp, View, CAPACITY_PERMILLE},
     std::net::SocketAddr,
 };
 
@@ -44,7 +46,7 @@
             .iter()
             .map(instance)
             .collect::<Result<_, _>>()?,
-        gone_servers: answer.gone_servers.clone(),
+        gone_servers: answer.gone_servers.iter().map(gone_server).collect(),
         gone_instances: answer.gone_instances.clone(),
     })
 }
@@ -61,7 +63,23 @@
         instances: delta.instances.iter().map(instance_text).collect(),
         servers: delta.servers.iter().map(server_text).collect(),
         gone_instances: delta.gone_instances.clone(),
-        gone_servers: delta.gone_servers.clone(),
+        gone_servers: delta.gone_servers.iter().map(gone_server_text).collect(),
+    }
+}
+
+fn gone_server(text: &GoneServer) -> (String, Stamp) {
+    let stamp = Stamp {
+        born_ms: text.born_ms,
+        sequence: text.sequence,
+    };
+    (text.name.clone(), stamp)
+}
+
+fn gone_server_text((name, stamp): &(String, Stamp)) -> GoneServer {
+    GoneServer {
+        name: name.clone(),
+        born_ms: stamp.born_ms,
+        sequence: stamp.sequence,
     }
 }
 
