--- a/crates/daemon/src/commands.rs
+++ b/crates/daemon/src/commands.rs
@@ -23,6 +23,7 @@
 mod snapshot;
 mod start;
 
+pub(crate) use self::logging::left_out_lines;
 pub use self::{
     logging::start_logging,
     start::{check_settings, run_file, run_main, start, StartError, Started},
--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -113,9 +113,11 @@
     ask: &AcquireAsk,
     may_queue: bool,
 ) -> Option<Result<Grant, Refused>> {
-    let mut ticket = None;
+    let mut message = message(node, area, ask, may_queue);
+    let mut unheard = Unheard::new(node, owner, &message);
     loop {
-        let message = message(node, area, ask, may_queue, ticket);
+        message.remaining_ms = left_ms(ask.deadline);
+        message.target_ms = ask.target.map_or(0, left_ms);
         let answer = if owner.name == node.settings.instance {
             pool_take::take(node, &message).await
         } else {
@@ -123,6 +125,9 @@
                 .await
                 .ok()?
         };
+        if answer.verdict != PermitVerdict::Queued {
+            unheard.heard();
+        }
         let retry_after_ms = Some(answer.retry_after_ms).filter(|&ms| ms > 0);
         let refused = |code| {
             Some(Err(Refused {
@@ -133,7 +138,7 @@
         match answer.verdict {
             PermitVerdict::Granted => return grant(owner, area, ask, answer).map(Ok),
             PermitVerdict::Queued => {
-                ticket = Some(answer.ticket);
+                message.ticket = Some(answer.ticket);
                 sleep(Duration::from_millis(answer.ask_after_ms)).await;
             }
             PermitVerdict::Busy | PermitVerdict::Overloaded => {
@@ -145,16 +150,53 @@
     }
 }
 
-fn message(
-    node: &Node,
-    area: &str,
-    ask: &AcquireAsk,
-    may_queue: bool,
-    ticket: Option<u64>,
-) -> PermitAsk {
-    let now = Instant::now();
-    let left_ms = |until: Instant| until.saturating_duration_since(now).as_millis() as u64;
+/// An ask whose answer was not heard of. Dropped before it is, since the owner was silent or the caller left, it
+/// gives back what the owner may have granted.
+struct Unheard {
+    node: Arc<Node>,
+    owner: String,
+    back: Option<PermitReturn>,
+}
+
+impl Unheard {
+    fn new(node: &Arc<Node>, owner: &Instance, message: &PermitAsk) -> Self {
+        Self {
+            node: Arc::clone(node),
+            owner: owner.name.clone(),
+            back: Some(PermitReturn {
+                service: message.service.clone(),
+                area: message.area.clone(),
+                ask: message.ask,
+                permit: 0,
+                server: String::new(),
+                evidence: EvidenceText::Nothing,
+                first_byte_us: 0,
+                whole_us: 0,
+                draining: false,
+            }),
+        }
+    }
+
+    fn heard(&mut self) {
+        self.back = None;
+    }
+}
+
+impl Drop for Unheard {
+    fn drop(&mut self) {
+        if let Some(back) = self.back.take() {
+            send_back(&self.node, &self.owner, back);
+        }
+    }
+}
+
+fn left_ms(until: Instant) -> u64 {
+    until.saturating_duration_since(Instant::now()).as_millis() as u64
+}
+
+fn message(node: &Node, area: &str, ask: &AcquireAsk, may_queue: bool) -> PermitAsk {
     PermitAsk {
+        ask: fastrand::u64(1..),
         service: ask.service.clone(),
         area: area.to_owned(),
         data_centre: node.settings.data_centre.clone(),
@@ -167,7 +209,7 @@
         idempotent: ask.idempotent,
         may_queue,
         exclude: ask.exclude.clone(),
-        ticket,
+        ticket: None,
     }
 }
 
@@ -194,6 +236,7 @@
     let back = PermitReturn {
         service: release.grant.service,
         area: release.grant.area,
+        ask: 0,
         permit: release.grant.permit,
         server: release.grant.server,
         evidence: evidence(release.evidence),
@@ -201,23 +244,29 @@
         whole_us: release.whole_us,
         draining: release.draining,
     };
-    if release.grant.owner == node.settings.instance {
+    send_back(node, &release.grant.owner, back);
+}
+
+/// Gives a permit back to its owner without waiting for it.
+fn send_back(node: &Arc<Node>, owner: &str, back: PermitReturn) {
+    if owner == node.settings.instance {
         return pool_return::give(node, &back);
     }
-    let node = Arc::clone(node);
+    let (node, owner) = (Arc::clone(node), owner.to_owned());
     tokio::spawn(async move {
         let view = node.view.load_full();
-        if let Some(owner) = find_instance(&view, &release.grant.owner) {
-            for _ in 0..RETURN_TRIES {
-                let returned: Result<bool, _> =
-                    call(&node, owner, "permit_return", &back, RETURN_TIMEOUT_MS).await;
-                if returned.is_ok() {
-                    return;
-                }
+        let Some(owner) = find_instance(&view, &owner) else {
+            return;
+        };
+        for _ in 0..RETURN_TRIES {
+            let returned: Result<bool, _> =
+                call(&node, owner, "permit_return", &back, RETURN_TIMEOUT_MS).await;
+            if returned.is_ok() {
+                return;
             }
-            // A return that is lost costs the slot until the permit expires.
-            log::debug!("a permit of {} was not given back", back.service);
         }
+        // A return that is lost costs the slot until the permit expires.
+        log::debug!("a permit of {} was not given back", back.service);
     });
 }
 
--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -66,7 +66,7 @@
         )
     };
     let source = platform::source(&node.platform, options);
-    let feed = Arc::new(Feed::new(own, source, hooks(node)));
+    let feed = Arc::new(Feed::new(own, &settings.seeds, source, hooks(node)));
     // Set once, before anything asks for it.
     let _ = node.feed.set(Arc::clone(&feed));
     tokio::spawn(feed::commands::follow(feed));
--- a/crates/daemon/src/commands/pool_return.rs
+++ b/crates/daemon/src/commands/pool_return.rs
@@ -3,7 +3,7 @@
 use {
     crate::{commands::pool_list::restand, owner::PoolState, Node},
     outlier::{commands::observe, Evidence},
-    permit::commands::give_back,
+    permit::commands::{give_back, withdraw_ask},
     types::{PermitId, ServerIndex},
     wire::generated::{EvidenceText, PermitReturn},
 };
@@ -20,6 +20,10 @@
 }
 
 fn take_back(state: &mut PoolState, back: &PermitReturn, now_ms: u64) {
+    if back.permit == 0 {
+        withdraw_ask(&mut state.pool, back.ask);
+        return state.wake_first(now_ms);
+    }
     let whole_us = (back.whole_us > 0).then_some(back.whole_us);
     let permit = give_back(&mut state.pool, PermitId::new(back.permit), whole_us);
     if let Some(server) = state.pool.names.find(&back.server) {
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -158,6 +158,7 @@
         priority: ask.priority,
         data_centre: ask.data_centre.clone(),
         body_bytes: ask.body_bytes,
+        ask: ask.ask,
         spurns_suspects: !ask.may_queue || (short_wait && queries::has_good(&state.pool)),
         neglected_before_ms: now_ms.saturating_sub(neglect_ms),
         exclude: excluded(state, &ask.exclude),
@@ -211,7 +212,7 @@
                 leave(state, ticket);
                 note_grant(state, is_retry, terms, now_ms);
                 let expires_ms = wish.deadline_ms + PERMIT_MARGIN_MS;
-                let id = commands::take(&mut state.pool, choice, now_ms, expires_ms);
+                let id = commands::take(&mut state.pool, choice, wish.ask, now_ms, expires_ms);
                 state.wake_first(now_ms);
                 return Step::Granted(grant(state, id, choice.server));
             }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,11 @@
 //! The metrics of one node, in a registry of its own.
 
-use prometheus::{
-    core::Collector, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+use {
+    crate::commands::left_out_lines,
+    prometheus::{
+        core::Collector, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+        IntGaugeVec, Opts, Registry, TextEncoder,
+    },
 };
 
 /// Bounds of the queue wait's buckets, in seconds.
@@ -39,6 +42,8 @@
     pub(crate) claims: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
+    /// Log lines left out.
+    pub(crate) log_left_out: IntGauge,
     /// Time since the log was last read, in milliseconds.
     pub(crate) log_age: IntGauge,
     /// Choices made without an owner, by reason.
@@ -95,6 +100,7 @@
             suspects: counter(&registry, "suspects_total", "Suspicions", &["service"])?,
             claims: counter(&registry, "claims_total", "Claims", &["verdict"])?,
             config_version: number(&registry, "config_version", "Version in force")?,
+            log_left_out: number(&registry, "log_lines_left_out", "Log lines left out")?,
             log_age: number(&registry, "log_age_ms", "Time since the log was read")?,
             fallbacks: counter(
                 &registry,
@@ -108,6 +114,7 @@
 
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
+        self.log_left_out.set(left_out_lines() as i64);
         let mut text = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
         if encoded.is_err() {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -89,6 +89,8 @@
     pub drain_ms: u64,
     /// Whether the platform keeps lists in a store, rather than records in a log.
     pub uses_store: bool,
+    /// Addresses of other instances, asked while none is known; they may be stale.
+    pub seeds: Vec<SocketAddr>,
     /// Region of each data centre.
     pub regions: HashMap<String, String>,
     /// Processor share of this instance, in thousandths of a core.
@@ -127,6 +129,7 @@
             snapshot_interval_ms: SNAPSHOT_INTERVAL_MS,
             drain_ms: DRAIN_MS,
             uses_store: false,
+            seeds: Vec::new(),
             regions: HashMap::new(),
             capacity_permille: CAPACITY_PERMILLE,
             stop_ms: STOP_MS,
@@ -172,6 +175,7 @@
             log_level: check.level(text.log_level.as_deref().unwrap_or("info")),
             principals: text.principals.iter().map(principal).collect(),
             uses_store: text.platform == Some(PlatformText::Store),
+            seeds: check.seeds(&text.seeds),
             regions: text.regions,
             capacity_permille: text.processor_share.map_or(CAPACITY_PERMILLE, thousandths),
             stop_ms: text.stop_s.map_or(STOP_MS, |s| u64::from(thousandths(s))),
@@ -232,6 +236,13 @@
         parsed.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
+    fn seeds(&mut self, texts: &[String]) -> Vec<SocketAddr> {
+        let places = texts.iter().enumerate();
+        places
+            .map(|(place, text)| self.address(&format!("$.seeds[{place}]"), text))
+            .collect()
+    }
+
     fn level(&mut self, text: &str) -> log::LevelFilter {
         let level = match text {
             "error" => Some(log::LevelFilter::Error),
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,5 +1,9 @@
 //! A small system of real processes for the tests: platform, backend servers and instances.
 
+#![allow(dead_code)] // Each test program uses a part.
+
+pub(crate) mod store;
+
 use {
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
--- /dev/null
+++ b/crates/daemon/tests/support/store.rs
@@ -0,0 +1,199 @@
+//! A small system of real processes on the store's platform.
+
+use {
+    crate::support::{free_address, send, wait_ready, Reply},
+    hyper::Method,
+    serde_json::json,
+    standin::{Backend, BackendKnobs, FaultProxy, Store},
+    std::{
+        env, fs,
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+    },
+};
+
+/// Host of the routes.
+pub(crate) const HOST: &str = "orders.example";
+
+/// A real `catkinhitchd` on the store's platform; dropping it kills it.
+pub(crate) struct StoreProcess {
+    pub(crate) caller: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) to_store: FaultProxy,
+    pub(crate) log: PathBuf,
+    settings: PathBuf,
+    pub(crate) child: Child,
+}
+
+impl Drop for StoreProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl StoreProcess {
+    pub(crate) fn signal(&self, signal: libc::c_int) {
+        // SAFETY: `kill` takes no pointers, and the id is that of a child that was not waited for yet.
+        unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
+    }
+
+    /// Kills the process and starts it again with the same settings.
+    pub(crate) fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = spawn(&self.settings, &self.log);
+    }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+    let file = fs::OpenOptions::new().create(true).append(true).open(log);
+    Command::new(env!("CARGO_BIN_EXE_catkinhitchd"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::from(file.expect("a log file")))
+        .spawn()
+        .expect("a process")
+}
+
+/// The system under test: two backend servers of one service, and instances behind fault proxies.
+pub(crate) struct StoreSystem {
+    pub(crate) store: Store,
+    pub(crate) backends: Vec<Backend>,
+    pub(crate) processes: Vec<StoreProcess>,
+    pub(crate) folder: PathBuf,
+    seeds: Vec<String>,
+}
+
+impl Drop for StoreSystem {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl StoreSystem {
+    pub(crate) async fn new(test: &str, count: usize) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = Store::new(any).await.expect("a store");
+        let folder = env::temp_dir().join(format!("catkinhitch-{test}-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let mut system = Self {
+            store,
+            backends: Vec::new(),
+            processes: Vec::new(),
+            folder,
+            seeds: Vec::new(),
+        };
+        for number in 0..2 {
+            let knobs = BackendKnobs {
+                service_us: 5_000,
+                proves: true,
+                ..BackendKnobs::default()
+            };
+            let name = format!("b{number}");
+            let backend = Backend::new(&name, any, knobs).await;
+            system.backends.push(backend.expect("a server"));
+            system.report(number, "ready", 1);
+        }
+        system.configure(1, 1.0);
+        for number in 0..count {
+            system.start(number).await;
+        }
+        for process in &system.processes {
+            wait_ready(process.admin).await;
+        }
+        system
+    }
+
+    /// Writes a backend server's own entry.
+    pub(crate) fn report(&self, backend: usize, state: &str, sequence: u64) {
+        let entry = json!({
+            "address": self.backends[backend].address.to_string(),
+            "born": 1_700_000_000_000_u64,
+            "info": { "service": "orders", "version": "v1", "zone": "a", "slots": 4 },
+            "status": { "state": state, "sequence": sequence, "warmup_left_s": 0 },
+        });
+        let id = format!("b{backend}");
+        self.store
+            .put("keyed.servers", &id, Some(&entry.to_string()));
+    }
+
+    /// Writes a configuration as an operator does.
+    pub(crate) fn configure(&self, version: u64, timeout_s: f64) {
+        let route = |prefix: &str, kind: &str| {
+            json!({
+                "name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind,
+                "timeout_s": timeout_s, "target_latency_s": 0.5, "priority": 1,
+                "service": "orders", "max_attempts": 2,
+            })
+        };
+        let document = json!({
+            "version": format!("r{version}"),
+            "routes": [route("/read/", "safe"), route("/order/", "unsafe"), route(&format!("/v{version}/"), "safe")],
+            "services": [{ "name": "orders", "health_path": "/health", "max_connections": 400, "protocol": "h1", "tls": false }],
+            "limits": { "max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15 },
+        });
+        self.store
+            .put("keyed.op", "config", Some(&document.to_string()));
+    }
+
+    async fn start(&mut self, number: usize) {
+        let (caller, rpc, admin) = (free_address(), free_address(), free_address());
+        let to_store = FaultProxy::new(self.store.address).await.expect("a proxy");
+        self.seeds.push(rpc.to_string());
+        let settings = json!({
+            "instance": format!("i{number}"),
+            "data_centre": "a",
+            "regions": { "a": "r" },
+            "processor_share": 0.2,
+            "caller_address": caller.to_string(),
+            "rpc_address": rpc.to_string(),
+            "admin_address": admin.to_string(),
+            "platform": "store",
+            "platform_address": to_store.address.to_string(),
+            "seeds": self.seeds.iter().take(3).collect::<Vec<_>>(),
+            "principals": [],
+            "drain_ms": 200,
+            "stop_s": 4,
+            "retry_slack": 20,
+        });
+        let file = self.folder.join(format!("i{number}.json"));
+        let log = self.folder.join(format!("i{number}.log"));
+        fs::write(&file, settings.to_string()).expect("a settings file");
+        self.processes.push(StoreProcess {
+            caller,
+            admin,
+            to_store,
+            child: spawn(&file, &log),
+            settings: file,
+            log,
+        });
+    }
+
+    /// Sends one request with an id and a deadline.
+    pub(crate) async fn ask(
+        &self,
+        process: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+    ) -> Option<Reply> {
+        let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "3000")];
+        send(
+            self.processes[process].caller,
+            method,
+            path,
+            &headers,
+            "body",
+        )
+        .await
+    }
+
+    /// How often a request id ran, over all servers.
+    pub(crate) fn run_count(&self, id: &str) -> u32 {
+        let runs = self.backends.iter();
+        runs.filter_map(|backend| backend.runs().get(id).map(|runs| runs.count))
+            .sum()
+    }
+}
--- a/crates/entry/src/commands/attempts.rs
+++ b/crates/entry/src/commands/attempts.rs
@@ -152,6 +152,7 @@
             }
             Event::Ended(permit, end) => {
                 self.in_flight.retain(|other| !Arc::ptr_eq(other, &permit));
+                self.note_end(&permit, &end);
                 self.end(&permit, end)
             }
         }
@@ -341,13 +342,36 @@
     }
 
     fn note(&self, grant: Option<&Grant>, reason: &'static str) {
+        let server = grant.map_or("", |grant| grant.server.as_str());
+        let evidence = grant.map_or("no slot", |grant| grant.reason);
+        self.log(server, reason, evidence);
+    }
+
+    /// Logs how an exchange ended that does not give the caller its answer.
+    fn note_end(&self, permit: &Permit, end: &End) {
+        let evidence = match end {
+            End::Whole(stored) if stored.status.is_server_error() => {
+                format!("status {}", stored.status.as_u16())
+            }
+            End::Whole(_) | End::Streamed(_) => return,
+            End::Refused => "no connection".to_owned(),
+            End::Shed => "not run, says the server".to_owned(),
+            End::Misdirected => "another server has the address".to_owned(),
+            End::Unknown { silent: true } => "connection closed before an answer".to_owned(),
+            End::Unknown { silent: false } => "no whole answer of the server's own".to_owned(),
+            End::BodyCut => "the caller's body ended early".to_owned(),
+        };
+        self.log(&permit.grant().server, "ended", &evidence);
+    }
+
+    fn log(&self, server: &str, reason: &str, evidence: &str) {
         let decision = RoutingDecision {
             request: self.job.plan.request_id.clone(),
             service: self.job.plan.service.clone(),
             attempt: self.asked,
-            server: grant.map_or_else(String::new, |grant| grant.server.clone()),
+            server: server.to_owned(),
             reason: reason.to_owned(),
-            evidence: grant.map_or("no slot", |grant| grant.reason).to_owned(),
+            evidence: evidence.to_owned(),
             elapsed_us: self.job.plan.received.elapsed().as_micros() as u64,
         };
         info!(target: "decision.routing", "{}", to_text(&decision));
--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -7,7 +7,7 @@
 
 pub use self::{
     announce::{announce, withdraw},
-    apply::note_config_changed,
+    apply::{note_asker, note_config_changed},
     pull::pull,
     read::{read_configuration, read_instances, read_servers},
 };
--- a/crates/feed/src/commands/announce.rs
+++ b/crates/feed/src/commands/announce.rs
@@ -5,7 +5,10 @@
     log::{info, warn},
     member::commands::report_instance,
     serde_json::json,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{atomic::Ordering, Arc},
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -33,8 +36,13 @@
     info!(target: "decision.belief", "{}", json!({ "belief": "announced", "instance": feed.own.name }));
 }
 
-/// Takes the record back once; if that fails others find out by themselves.
+/// Takes the record back once; if that fails others find out by themselves. Pools of this instance go to others.
 pub async fn withdraw(feed: &Feed) {
+    feed.leaving.store(true, Ordering::SeqCst);
+    let own = feed.announced();
+    feed.lists
+        .with(0, |lists| report_instance(&mut lists.roster, &own));
+    publish(feed);
     if let Err(error) = (feed.source.withdraw)(&feed.own.name).await {
         warn!("withdrawing this instance: {error}");
     }
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -1,7 +1,7 @@
 //! Applies readings and answers to the lists.
 
 use {
-    crate::{commands::publish, Feed},
+    crate::{commands::publish, queries, Feed},
     log::{info, warn},
     member::{
         commands::{
@@ -14,7 +14,10 @@
     std::{collections::HashSet, sync::Arc, time::Duration},
     stream::{Published, Reading},
     tokio::time::sleep,
-    wire::{convert, generated::SyncAnswer},
+    wire::{
+        convert,
+        generated::{ListedInstance, SyncAnswer},
+    },
 };
 
 /// Time between looks for servers that did not come back after the platform's return, in milliseconds.
@@ -105,6 +108,9 @@
         Ok(delta) => delta,
         Err(error) => return warn!("another instance's list: {error}"),
     };
+    if answer.source_age_ms >= queries::NEVER_WHOLE_MS {
+        return;
+    }
     let now_ms = feed.now_ms();
     let changed = feed.lists.with(0, |lists| {
         let as_of_ms = now_ms.saturating_sub(answer.source_age_ms);
@@ -121,6 +127,21 @@
     }
 }
 
+/// Notes an instance that asked this one: while the platform is away, restarted ones are heard of in this way only.
+pub fn note_asker(feed: &Feed, asker: &ListedInstance) {
+    let asker = match convert::instance(asker) {
+        Ok(asker) if asker.name != feed.own.name => asker,
+        Ok(_) => return,
+        Err(error) => return warn!("an asking instance: {error}"),
+    };
+    let changed = feed
+        .lists
+        .with(0, |lists| report_instance(&mut lists.roster, &asker));
+    if changed {
+        publish(feed);
+    }
+}
+
 /// Drops, for ever, the servers that were missing at the platform's return and did not come back in time.
 pub(crate) async fn settle(feed: Arc<Feed>) {
     loop {
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -7,7 +7,7 @@
     serde_json::json,
     std::{sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
-    wire::generated::SyncAsk,
+    wire::{convert::instance_text, generated::SyncAsk},
 };
 
 /// How long another instance waits for a change before it answers, in milliseconds; bounds how long one that went
@@ -22,7 +22,7 @@
 /// Pause after nobody gave news, in milliseconds; jitter up to as much again is added.
 const LONELY_PAUSE_MS: u64 = 300;
 /// Time after the start in which others announce themselves, in milliseconds, before the lists are read.
-const START_SPREAD_MS: u64 = 300;
+const START_SPREAD_MS: u64 = 60;
 
 /// Pulls for ever.
 pub async fn pull(feed: Arc<Feed>) {
@@ -30,20 +30,24 @@
     let mut changed = feed.changed.subscribe();
     loop {
         let view = feed.lists.with(0, |lists| queries::view(lists));
-        let Some(candidates) = candidates(&feed, &view) else {
+        let preferred = feeds(&view, &feed.own.name);
+        let is_root = preferred.is_empty();
+        if is_root {
             set_reads(&feed, true, "first in order");
+        }
+        if is_root && queries::source_age_ms(&feed) < STALE_MS {
             // A change of the list may change who reads; the timeout only bounds the wait for one.
             let _ = timeout(Duration::from_millis(ROOT_LOOK_MS), changed.changed()).await;
             // Not more often than others pull.
             sleep(Duration::from_millis(ROOT_LOOK_MS)).await;
             continue;
-        };
-        if pull_any(&feed, &candidates).await {
-            set_reads(&feed, false, "others give news");
-        } else {
+        }
+        if !pull_any(&feed, &candidates(&feed, &view, preferred)).await {
             set_reads(&feed, true, "no other gives news");
             let pause_ms = LONELY_PAUSE_MS + fastrand::u64(0..=LONELY_PAUSE_MS);
             sleep(Duration::from_millis(pause_ms)).await;
+        } else if !is_root {
+            set_reads(&feed, false, "others give news");
         }
     }
 }
@@ -58,13 +62,9 @@
     }
 }
 
-/// Whom to ask, in order: those whose task it is, then one at random, who may have news that they lack. Nothing
-/// if it is this instance's task to read.
-fn candidates(feed: &Feed, view: &View) -> Option<Vec<Instance>> {
-    let preferred = feeds(view, &feed.own.name);
-    if preferred.is_empty() {
-        return None;
-    }
+/// Whom to ask, in order: those whose task it is, then one at random, who may have news that they lack; the seeds if
+/// nobody else is known.
+fn candidates(feed: &Feed, view: &View, preferred: Vec<&Instance>) -> Vec<Instance> {
     let usable = |instance: &&Instance| !(feed.hooks.is_skipped)(&instance.name);
     let mut chosen: Vec<Instance> = preferred.into_iter().filter(usable).cloned().collect();
     let others: Vec<&Instance> = member::queries::live_instances(view)
@@ -74,7 +74,13 @@
     if !others.is_empty() {
         chosen.push(others[fastrand::usize(..others.len())].clone());
     }
-    Some(chosen)
+    if chosen.is_empty() {
+        let addresses = feed.seeds.iter().copied();
+        let foreign = addresses.filter(|address| *address != feed.own.rpc_address);
+        chosen
+            .extend(foreign.map(|address| Instance::new(&format!("seed {address}"), "", address)));
+    }
+    chosen
 }
 
 async fn pull_any(feed: &Feed, candidates: &[Instance]) -> bool {
@@ -95,6 +101,7 @@
         feed: known_feed,
         known_list,
         wait_ms: SYNC_WAIT_MS,
+        own: instance_text(&feed.announced()),
     };
     let limit_ms = SYNC_WAIT_MS + SYNC_MARGIN_MS;
     let Some(answer) = (feed.hooks.sync)(peer.clone(), ask, limit_ms).await else {
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -12,7 +12,7 @@
 };
 
 /// Age given for a list that was never whole, in milliseconds; a day.
-const NEVER_WHOLE_MS: u64 = 86_400_000;
+pub(crate) const NEVER_WHOLE_MS: u64 = 86_400_000;
 
 /// Indexes the lists.
 pub(crate) fn view(lists: &Lists) -> View {
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -2,8 +2,12 @@
 
 use {
     futures_util::future::BoxFuture,
-    member::{Instance, Roster, View},
-    std::time::Instant,
+    member::{Instance, Presence, Roster, View},
+    std::{
+        net::SocketAddr,
+        sync::atomic::{AtomicBool, Ordering},
+        time::Instant,
+    },
     stream::{Published, Source},
     tokio::sync::watch,
     types::Shards,
@@ -47,6 +51,8 @@
 pub struct Feed {
     /// This instance.
     pub own: Instance,
+    /// Addresses of instances to ask while no other is known.
+    pub(crate) seeds: Vec<SocketAddr>,
     /// Tells this process from others to whom its list's versions mean nothing.
     pub id: u64,
     pub(crate) source: Source,
@@ -55,14 +61,17 @@
     pub(crate) lists: Shards<Lists>,
     /// Rises with each change of the list or the configuration.
     pub(crate) changed: watch::Sender<u64>,
+    /// Whether this instance is leaving.
+    pub(crate) leaving: AtomicBool,
     /// Whether this instance reads the platform.
     pub(crate) reads: watch::Sender<bool>,
 }
 
 impl Feed {
     /// Creates a feed that knows only its own instance.
-    pub fn new(own: Instance, source: Source, hooks: Hooks) -> Self {
+    pub fn new(own: Instance, seeds: &[SocketAddr], source: Source, hooks: Hooks) -> Self {
         Self {
+            seeds: seeds.to_vec(),
             own,
             id: fastrand::u64(1..),
             source,
@@ -70,10 +79,24 @@
             started: Instant::now(),
             lists: Shards::new(1),
             changed: watch::channel(0).0,
+            leaving: AtomicBool::new(false),
             reads: watch::channel(false).0,
         }
     }
 
+    /// Returns this instance as others are to know it.
+    pub(crate) fn announced(&self) -> Instance {
+        let presence = if self.leaving.load(Ordering::SeqCst) {
+            Presence::Leaving
+        } else {
+            Presence::Live
+        };
+        Instance {
+            presence,
+            ..self.own.clone()
+        }
+    }
+
     /// Returns the time since the feed was created, in milliseconds.
     pub(crate) fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         roster::{Grave, Known},
-        BackendServer, Delta, Instance, Roster, Stamp,
+        BackendServer, Delta, Instance, Presence, Roster, Stamp,
     },
     std::collections::HashSet,
 };
@@ -60,7 +60,9 @@
         return false;
     }
     if let Some(known) = roster.instances.get(&instance.name) {
-        if stamp.is_older(known.stamp) || known.value == *instance {
+        // A process that leaves does not come back; its successor has another incarnation.
+        let has_left = known.stamp == stamp && known.value.presence == Presence::Leaving;
+        if stamp.is_older(known.stamp) || has_left || known.value == *instance {
             return false;
         }
     }
--- a/crates/permit/src/commands.rs
+++ b/crates/permit/src/commands.rs
@@ -9,5 +9,5 @@
     budget::{forget_old, note_request, spend},
     list::list_server,
     queue::{drop_silent_waiters, enqueue, hear, leave_queue},
-    take::{expire, give_back, mark_overdue, take},
+    take::{expire, give_back, mark_overdue, take, withdraw_ask},
 };
--- a/crates/permit/src/commands/take.rs
+++ b/crates/permit/src/commands/take.rs
@@ -8,12 +8,13 @@
 /// Share of a new sample in the mean service time.
 const SERVICE_TIME_SHARE: f64 = 0.05;
 
-/// Takes the chosen slot until `expires_ms` and returns the permit's number.
-pub fn take(pool: &mut Pool, choice: Choice, now_ms: u64, expires_ms: u64) -> PermitId {
+/// Takes the chosen slot for the ask of that number until `expires_ms` and returns the permit's number.
+pub fn take(pool: &mut Pool, choice: Choice, ask: u64, now_ms: u64, expires_ms: u64) -> PermitId {
     let id = PermitId::new(pool.next_permit);
     pool.next_permit += 1;
     let permit = Permit {
         server: choice.server,
+        ask,
         granted_ms: now_ms,
         expires_ms,
         overdue: false,
@@ -47,6 +48,16 @@
     Some(permit)
 }
 
+/// Takes back the permit of an ask whose asker did not hear of the grant, and forgets the ask if it waits.
+pub fn withdraw_ask(pool: &mut Pool, ask: u64) -> Option<Permit> {
+    pool.queue.retain(|waiter| waiter.wish.ask != ask);
+    let mut permits = pool.permits.iter();
+    let id = permits
+        .find(|(_, permit)| permit.ask == ask)
+        .map(|(id, _)| *id)?;
+    give_back(pool, id, None)
+}
+
 /// Takes back every permit whose expiry has passed and returns how many.
 pub fn expire(pool: &mut Pool, now_ms: u64) -> usize {
     let expired: Vec<PermitId> = pool
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -73,6 +73,8 @@
 pub struct Permit {
     /// The server whose slot is held.
     pub server: ServerIndex,
+    /// Number of the ask that it was granted to.
+    pub ask: u64,
     /// When it was granted, in milliseconds.
     pub granted_ms: u64,
     /// When it is taken back unless returned, in milliseconds.
@@ -97,6 +99,8 @@
     pub data_centre: String,
     /// Size of the request's body, in bytes.
     pub body_bytes: u64,
+    /// Number of the ask, drawn by the asker.
+    pub ask: u64,
     /// A good server that got no work since is preferred, in milliseconds of the owner's clock.
     pub neglected_before_ms: u64,
     /// Whether to wait for a better server rather than take a suspect.
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -4,6 +4,7 @@
     permit::{
         commands::{
             drop_silent_waiters, enqueue, expire, give_back, hear, list_server, mark_overdue, take,
+            withdraw_ask,
         },
         queries::{ahead, choose, choose_unused, first_present, fits_deadline, held},
         Pool, Refusal, Standing, Wish,
@@ -46,7 +47,7 @@
     set_standing(&mut pool, 0, Standing::Suspect);
     let first = choose(&pool, &wish(true)).expect("a free slot");
     assert_eq!(first.server, ServerIndex::from(1));
-    take(&mut pool, first, 0, 100);
+    take(&mut pool, first, 0, 0, 100);
     let second = choose(&pool, &wish(true)).expect("the suspect's slot");
     assert_eq!(second.server, ServerIndex::from(0));
 }
@@ -79,7 +80,7 @@
     assert!(!choose(&pool, &wish(false)).expect("a slot").trial);
     let trial = choose(&pool, &wish(true)).expect("a slot");
     assert!(trial.trial);
-    take(&mut pool, trial, 0, 100);
+    take(&mut pool, trial, 0, 0, 100);
     assert!(!choose(&pool, &wish(true)).expect("a slot").trial);
 }
 
@@ -87,7 +88,7 @@
 fn expire_dead_entry() {
     let mut pool = pool(1, 1);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    take(&mut pool, choice, 0, 100);
+    take(&mut pool, choice, 0, 0, 100);
     assert_eq!(choose(&pool, &wish(true)), Err(Refusal::Busy));
     assert_eq!(expire(&mut pool, 99), 0);
     assert_eq!(expire(&mut pool, 100), 1);
@@ -98,17 +99,34 @@
 fn give_back_twice() {
     let mut pool = pool(1, 2);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    let id = take(&mut pool, choice, 0, 100);
+    let id = take(&mut pool, choice, 0, 0, 100);
     assert!(give_back(&mut pool, id, Some(10)).is_some());
     assert!(give_back(&mut pool, id, Some(10)).is_none());
     assert_eq!(held(&pool), 0);
 }
 
+#[test]
+fn withdraw_ask_grant_not_heard() {
+    let mut pool = pool(1, 1);
+    let choice = choose(&pool, &wish(true)).expect("a slot");
+    take(&mut pool, choice, 7, 0, 5_000);
+    let waiting = Wish {
+        ask: 8,
+        ..wish(true)
+    };
+    enqueue(&mut pool, waiting, 0);
+    assert!(withdraw_ask(&mut pool, 9).is_none());
+    assert!(withdraw_ask(&mut pool, 8).is_none());
+    assert_eq!((held(&pool), ahead(&pool, None, 0)), (1, 0));
+    assert!(withdraw_ask(&mut pool, 7).is_some());
+    assert_eq!(held(&pool), 0);
+}
+
 #[test]
 fn mark_overdue_once() {
     let mut pool = pool(1, 1);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    take(&mut pool, choice, 0, 1_000);
+    take(&mut pool, choice, 0, 0, 1_000);
     assert!(mark_overdue(&mut pool, 50, 50).is_empty());
     assert_eq!(mark_overdue(&mut pool, 51, 50).len(), 1);
     assert!(mark_overdue(&mut pool, 60, 50).is_empty());
@@ -133,7 +151,7 @@
 fn fits_deadline_long_queue() {
     let mut pool = pool(1, 2);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    let id = take(&mut pool, choice, 0, 100);
+    let id = take(&mut pool, choice, 0, 0, 100);
     give_back(&mut pool, id, Some(100_000));
     assert!(fits_deadline(&pool, 0, 0, 200));
     assert!(!fits_deadline(&pool, 10, 0, 200));
@@ -149,7 +167,7 @@
     let mut picks = Vec::new();
     for _ in 0..6 {
         let choice = choose(&pool, &wish(true)).expect("a slot");
-        take(&mut pool, choice, 0, 100);
+        take(&mut pool, choice, 0, 0, 100);
         picks.push(usize::from(choice.server));
     }
     // A used server costs more with each request, so the work spreads before the cheapest is full.
@@ -165,7 +183,7 @@
         ..wish(false)
     };
     let first = choose(&pool, &patient).expect("the good server");
-    take(&mut pool, first, 0, 100);
+    take(&mut pool, first, 0, 0, 100);
     assert_eq!(choose(&pool, &patient), Err(Refusal::Busy));
     assert!(choose(&pool, &wish(false)).is_ok());
 }
@@ -220,7 +238,7 @@
         turns.iter().all(|(takes, pick)| {
             if *takes {
                 if let Ok(choice) = choose(&pool, &wish(true)) {
-                    out.push(take(&mut pool, choice, 0, 1_000));
+                    out.push(take(&mut pool, choice, 0, 0, 1_000));
                 }
             } else if !out.is_empty() {
                 let id = out.remove(usize::from(*pick) % out.len());
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -72,6 +72,9 @@
     pub load_lies: bool,
     /// Share of work that fails without any fault, in thousandths.
     pub noise_permille: u32,
+    /// Whether it speaks as backend servers of the store's platform do: it echoes `request-id`, proves its answers,
+    /// marks what it did not run, and refuses requests that are meant for another server.
+    pub proves: bool,
 }
 
 impl Default for BackendKnobs {
@@ -84,6 +87,7 @@
             draining: false,
             load_lies: false,
             noise_permille: 0,
+            proves: false,
         }
     }
 }
@@ -240,9 +244,19 @@
     let before = shared.in_flight.fetch_add(1, Ordering::SeqCst);
     let _slot = Slot(Arc::clone(&shared));
     let mut work = Work::new(&request);
+    let proves = lock(&shared).knobs.proves;
+    let meant = request.headers().get("target-instance");
+    if proves && meant.is_some_and(|meant| meant != shared.name.as_str()) {
+        return Some(full(421, "another server"));
+    }
     let knobs = admit(&shared, &work, before);
     let Some((knobs, planned_us)) = knobs else {
-        return Some(mark(shed(), "x-request-shed"));
+        let mark_name = if proves {
+            "not-executed"
+        } else {
+            "x-request-shed"
+        };
+        return Some(mark(shed(), mark_name));
     };
     let received = request.into_body().collect().await.ok()?.to_bytes();
     work.received_bytes = received.len();
@@ -264,7 +278,9 @@
         &shared.name,
         if failed { Gray::Errors } else { gray },
     );
-    Some(if knobs.draining {
+    Some(if proves {
+        prove(answer, &work, &shared.name)
+    } else if knobs.draining {
         mark(answer, "x-draining")
     } else {
         answer
@@ -301,6 +317,19 @@
     (-(1.0 - fastrand::f64()).ln() * knobs.service_us as f64 * factor) as u64
 }
 
+fn prove(mut answer: Answer, work: &Work, server: &str) -> Answer {
+    let headers = answer.headers_mut();
+    for (name, text) in [("request-id", &work.id), ("response-signature", &work.id)] {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    }
+    if let Ok(value) = HeaderValue::from_str(server) {
+        headers.insert("backend-id", value);
+    }
+    answer
+}
+
 fn shed() -> Answer {
     full(503, "shed")
 }
--- a/crates/standin/src/backend_answer.rs
+++ b/crates/standin/src/backend_answer.rs
@@ -42,8 +42,14 @@
                 .and_then(|value| value.to_str().ok())
                 .unwrap_or_default()
         };
+        let id = text("x-bench-id");
         Self {
-            id: text("x-bench-id").to_owned(),
+            id: if id.is_empty() {
+                text("request-id")
+            } else {
+                id
+            }
+            .to_owned(),
             request_id: request.headers().get("x-request-id").cloned(),
             answer_bytes: text("x-answer-bytes").parse().unwrap_or(0),
             received_bytes: 0,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod log_store;
 mod platform;
 mod server;
+mod store;
 
 pub use crate::{
     backend::{Arrival, Backend, BackendKnobs, Gray, Runs},
@@ -16,4 +17,5 @@
     log_store::LogRecordText,
     platform::{Platform, PlatformKnobs},
     server::{clock_ms, full, Answer, BoxedBody},
+    store::{Away, Store, StoreKnobs},
 };
