Let suspicion cost no capacity: spurn suspects only while good servers suffice for all, and accuse in flight later

Change: a request in flight speaks against its server from twice the tail on; suspects are spurned only while the whole queue would be served by the others within half a service time. Both patterns have a test without network.

--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -98,7 +98,7 @@
         let is_new = !pools.contains_key(&id);
         let state = open_pool(node, pools, id, ask, now_ms);
         state.asked_ms = now_ms;
-        let wish = wish(state, ask, ticket, deadline_ms, now_ms);
+        let wish = wish(state, ask, deadline_ms, now_ms);
         (try_take(state, wish, ticket, ask, terms, now_ms), is_new)
     });
     if is_new {
@@ -136,16 +136,7 @@
     }
 }
 
-fn wish(
-    state: &PoolState,
-    ask: &PermitAsk,
-    ticket: Option<u64>,
-    deadline_ms: u64,
-    now_ms: u64,
-) -> Wish {
-    let ahead = queries::ahead(&state.pool, ticket, ask.priority);
-    // With other pools to ask, or a short wait for a better server, a suspect is not taken.
-    let short_wait = queries::wait_us(&state.pool, ahead) <= queries::service_us(&state.pool);
+fn wish(state: &PoolState, ask: &PermitAsk, deadline_ms: u64, now_ms: u64) -> Wish {
     let neglect_ms = if ask.idempotent {
         NEGLECT_SAFE_MS
     } else {
@@ -159,7 +150,8 @@
         data_centre: ask.data_centre.clone(),
         body_bytes: ask.body_bytes,
         ask: ask.ask,
-        spurns_suspects: !ask.may_queue || (short_wait && queries::has_good(&state.pool)),
+        // With other pools to ask, or a short wait for a better server, a suspect is not taken.
+        spurns_suspects: !ask.may_queue || queries::good_ones_suffice(&state.pool),
         neglected_before_ms: now_ms.saturating_sub(neglect_ms),
         exclude: excluded(state, &ask.exclude),
     }
--- a/crates/daemon/tests/support/store.rs
+++ b/crates/daemon/tests/support/store.rs
@@ -8,7 +8,7 @@
     std::{
         env, fs,
         net::SocketAddr,
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
     },
 };
@@ -47,7 +47,7 @@
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+fn spawn(settings: &Path, log: &Path) -> Child {
     let file = fs::OpenOptions::new().create(true).append(true).open(log);
     Command::new(env!("CARGO_BIN_EXE_catkinhitchd"))
         .arg("--settings")
--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -14,21 +14,20 @@
 
 use {
     crate::{queries, Feed},
-    futures_util::future::join_all,
-    std::{future::Future, pin::Pin, sync::Arc},
+    std::sync::Arc,
+    tokio::join,
 };
 
 /// Follows everything for ever.
 pub async fn follow(feed: Arc<Feed>) {
-    let tasks: [Pin<Box<dyn Future<Output = ()> + Send>>; 6] = [
-        Box::pin(announce(Arc::clone(&feed))),
-        Box::pin(pull(Arc::clone(&feed))),
-        Box::pin(read_configuration(Arc::clone(&feed))),
-        Box::pin(read_servers(Arc::clone(&feed))),
-        Box::pin(read_instances(Arc::clone(&feed))),
-        Box::pin(apply::settle(feed)),
-    ];
-    join_all(tasks).await;
+    join!(
+        announce(Arc::clone(&feed)),
+        pull(Arc::clone(&feed)),
+        read_configuration(Arc::clone(&feed)),
+        read_servers(Arc::clone(&feed)),
+        read_instances(Arc::clone(&feed)),
+        apply::settle(feed),
+    );
 }
 
 /// Publishes the list to the node and wakes whoever waits for a change.
--- a/crates/outlier/src/commands/observe.rs
+++ b/crates/outlier/src/commands/observe.rs
@@ -37,6 +37,9 @@
 pub(crate) const TAIL_COUNT_LEAST: u64 = 20;
 /// Least tail that ages are held against, in microseconds.
 const TAIL_LEAST_US: f64 = 10_000.0;
+/// Multiple of the pool's tail from which a request in flight speaks against its server: the tail is that of a
+/// mixture, and a good part of the longer kind of work outlasts it.
+const FLIGHT_FACTOR: f64 = 2.0;
 /// Share of requests that may take however long at a usual server: a few always do.
 const SURVIVAL_LEAST: f64 = 0.005;
 /// Whole answers during which a new server may be slow.
@@ -92,7 +95,7 @@
 
 /// Weighs the ages of the requests in flight at `server`, given in microseconds.
 ///
-/// At a usual server one request in twenty outlasts the pool's tail, one in four hundred twice that, and so on, but
+/// At a usual server few requests outlast twice the pool's tail, one in twenty of those three times, and so on, but
 /// some always do; a hung request is evidence long before its timeout.
 pub fn observe_flight(health: &mut Health, server: ServerIndex, ages_us: &[f64], now_ms: u64) {
     let peer_share = queries::peer_bad_share(health, server);
@@ -102,12 +105,13 @@
     };
     entry.flight_llr = if let (Some(_), Some(tail_us)) = (peer_share, tail_us) {
         let ratio = |age_us: &f64| {
-            let survival = TAIL_SHARE.powf(age_us / tail_us.max(TAIL_LEAST_US));
+            let survival = TAIL_SHARE.powf(age_us / tail_us.max(TAIL_LEAST_US) - 1.0);
             (FAULTY_BAD_SHARE / survival.max(SURVIVAL_LEAST))
                 .ln()
                 .max(0.0)
         };
-        let overdue = ages_us.iter().filter(|age_us| **age_us > tail_us);
+        let late_us = FLIGHT_FACTOR * tail_us;
+        let overdue = ages_us.iter().filter(|age_us| **age_us > late_us);
         overdue.map(ratio).sum()
     } else {
         0.0
--- a/crates/outlier/tests/detection.rs
+++ b/crates/outlier/tests/detection.rs
@@ -98,6 +98,27 @@
     assert!(is_suspect(&health, 2));
 }
 
+#[test]
+fn observe_flight_long_kind_of_work() {
+    // Three probes of 4 ms for each request of 400 ms: the long ones in flight accuse nobody.
+    let mut health = Health::new();
+    for _ in 0..4 {
+        health.servers.push(ServerHealth::default());
+    }
+    for round in 0..40 {
+        for index in 0..4 {
+            let server = ServerIndex::from(index);
+            let time_us = if round % 4 == 0 { 400_000 } else { 4_000 };
+            observe(&mut health, server, whole(time_us), Sensitivity::fast(), 0);
+        }
+    }
+    for index in 0..4 {
+        let server = ServerIndex::from(index);
+        observe_flight(&mut health, server, &[500_000.0, 650_000.0, 300_000.0], 0);
+        assert!(!is_suspect(&health, index), "server {index}");
+    }
+}
+
 #[test]
 fn observe_silent_connection() {
     let mut health = warm(4);
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -5,6 +5,9 @@
     types::ServerIndex,
 };
 
+/// Service times for which a request rather waits for a server that is no suspect.
+const SPURN_SERVICE_TIMES: f64 = 0.5;
+
 /// Picks a server for the wish: a due trial first, then by standing, then by what it is expected to cost.
 ///
 /// # Errors
@@ -89,9 +92,10 @@
     (ahead as f64 + 1.0) * pool.service_us / f64::from(slots.max(1))
 }
 
-/// Returns the mean service time, in microseconds; 0 before the first whole answer.
-pub fn service_us(pool: &Pool) -> f64 {
-    pool.service_us
+/// Tells whether all waiters and one more would soon have been served by servers that are no suspects, so that it is
+/// worth waiting for these. Whoever is first must not wait for long on behalf of all behind it.
+pub fn good_ones_suffice(pool: &Pool) -> bool {
+    has_good(pool) && wait_us(pool, pool.queue.len()) <= pool.service_us * SPURN_SERVICE_TIMES
 }
 
 /// Tells whether retries are left in the window: `percent` of its requests, and `slack` more.
@@ -128,7 +132,7 @@
 }
 
 /// Tells whether a server that is no suspect may take work.
-pub fn has_good(pool: &Pool) -> bool {
+fn has_good(pool: &Pool) -> bool {
     let mut servers = pool.servers.iter();
     servers.any(|(_, server)| may_work(server) && server.standing == Standing::Good)
 }
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -6,7 +6,9 @@
             drop_silent_waiters, enqueue, expire, give_back, hear, list_server, mark_overdue, take,
             withdraw_ask,
         },
-        queries::{ahead, choose, choose_unused, first_present, fits_deadline, held},
+        queries::{
+            ahead, choose, choose_unused, first_present, fits_deadline, good_ones_suffice, held,
+        },
         Pool, Refusal, Standing, Wish,
     },
     quickcheck::quickcheck,
@@ -188,6 +190,25 @@
     assert!(choose(&pool, &wish(false)).is_ok());
 }
 
+#[test]
+fn good_ones_suffice_long_queue() {
+    // One good server among suspects: whoever is first must not hold up all behind it.
+    let mut pool = pool(4, 4);
+    for index in 1..4 {
+        set_standing(&mut pool, index, Standing::Suspect);
+    }
+    let choice = choose(&pool, &wish(true)).expect("a slot");
+    let id = take(&mut pool, choice, 0, 0, 1_000);
+    give_back(&mut pool, id, Some(300_000));
+    assert!(good_ones_suffice(&pool));
+    for _ in 0..3 {
+        enqueue(&mut pool, wish(true), 0);
+    }
+    assert!(!good_ones_suffice(&pool));
+    set_standing(&mut pool, 0, Standing::Suspect);
+    assert!(!good_ones_suffice(&Pool::new()));
+}
+
 #[test]
 fn choose_own_data_centre() {
     let mut pool = pool(1, 4);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -193,7 +193,11 @@
             let body = request.into_body().collect().await.ok()?.to_bytes();
             append(&state, &changed, &topic, body, knobs).await
         }
-        (&Method::GET, "/log-newest") => Some(newest(&state, &topic, query.get("after"))),
+        (&Method::GET, "/log-newest") => Some(newest(
+            &state,
+            &topic,
+            query.get("after").map(String::as_str),
+        )),
         (&Method::GET, "/log-read") => Some(read(&state, &changed, &topic, &query).await),
         _ => Some(full(404, "no such call")),
     }
@@ -233,13 +237,13 @@
     None
 }
 
-fn newest(state: &Mutex<State>, topic: &str, after: Option<&String>) -> Answer {
+fn newest(state: &Mutex<State>, topic: &str, after: Option<&str>) -> Answer {
     let mut state = lock(state);
     let topic = state.topics.entry(topic.to_owned()).or_default();
     let mut rows = topic
         .newest
         .iter()
-        .filter(|(key, _)| after.is_none_or(|after| *key > after));
+        .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
     let items: Vec<_> = rows
         .by_ref()
         .take(PAGE_KEYS)
