Hand a pool's evidence to its successor, and spread over failing servers only where a tenth of the work fails

And a pool whose owner stops began from nothing.

Ruled out: false suspicion (the suspects were the servers that failed), trials (one a doubling interval).

Change: spread from a tenth on, over a longer memory, to three quarters of the servers; owners tell their successors and ask those next in order for beliefs, tail, service time and the counts of the retry window.

--- a/crates/daemon/src/commands.rs
+++ b/crates/daemon/src/commands.rs
@@ -9,6 +9,7 @@
 mod eject;
 mod fold_config;
 mod fold_ejections;
+mod hand_over;
 mod local;
 mod logging;
 mod members;
--- /dev/null
+++ b/crates/daemon/src/commands/hand_over.rs
@@ -0,0 +1,184 @@
+//! Hands what an owner knows of a pool to its successor.
+//!
+//! A pool moves when instances come and go. Its new owner asks those next in order, who may have owned it before;
+//! an owner that leaves tells its successor. What was granted stays with the old owner until it is given back.
+
+use {
+    crate::{
+        commands::{
+            peers::call,
+            pool_list::{list_pool, restand},
+        },
+        owner::PoolState,
+        Node,
+    },
+    futures_util::future::join_all,
+    log::info,
+    member::{
+        queries::{is_skipped, owner_order},
+        Instance,
+    },
+    outlier::{
+        commands::{adopt, adopt_tail, Heard},
+        Tail,
+    },
+    permit::{commands, queries},
+    serde_json::json,
+    std::sync::Arc,
+    types::hash_of,
+    wire::generated::{PoolAsk, PoolEvidence, ServerEvidence},
+};
+
+/// Instances asked about a pool that is new here; the first of them owned it, most likely.
+const ASKED: usize = 3;
+/// Time allowed for their answers, in milliseconds; requests wait for it once, when a pool moves.
+const ASK_TIMEOUT_MS: u64 = 60;
+/// Time allowed for telling a successor, in milliseconds.
+const TELL_TIMEOUT_MS: u64 = 500;
+/// Age from which evidence is not handed on, in milliseconds; it has faded by then.
+const OLD_MS: u64 = 30_000;
+
+/// Asks others what they know of a pool that was just opened here.
+pub(crate) async fn ask_others(node: &Arc<Node>, service: &str, area: &str) {
+    let view = node.view.load_full();
+    let now_ms = node.now_ms();
+    let order = owner_order(&view, service, area);
+    let others = order.into_iter().filter(|instance| {
+        instance.name != node.settings.instance
+            && !node.contacts.with(hash_of(&instance.name), |contacts| {
+                is_skipped(contacts, &instance.name, now_ms)
+            })
+    });
+    let ask = PoolAsk {
+        service: service.to_owned(),
+        area: area.to_owned(),
+    };
+    let ask = &ask;
+    let asks = others.take(ASKED).map(|peer| async move {
+        let answer: Result<PoolEvidence, _> =
+            call(node, peer, "pool_evidence", ask, ASK_TIMEOUT_MS).await;
+        // One that does not answer is skipped for a time; nothing of it is needed here.
+        answer.ok()
+    });
+    for evidence in join_all(asks).await.into_iter().flatten() {
+        take_over(node, &evidence);
+    }
+}
+
+/// Tells the successor of each pool what is known of it.
+pub(crate) async fn tell_successors(node: &Arc<Node>) {
+    let mut known = Vec::new();
+    let now_ms = node.now_ms();
+    node.owner.each(|state| known.push(evidence(state, now_ms)));
+    let view = node.view.load_full();
+    let tells = known.iter().filter_map(|evidence| {
+        let order = owner_order(&view, &evidence.service, &evidence.area);
+        let mut others = order.into_iter();
+        let successor: &Instance =
+            others.find(|instance| instance.name != node.settings.instance)?;
+        Some(call::<_, bool>(
+            node,
+            successor,
+            "pool_adopt",
+            evidence,
+            TELL_TIMEOUT_MS,
+        ))
+    });
+    let told = join_all(tells).await;
+    let count = told.iter().filter(|result| result.is_ok()).count();
+    let line = json!({ "belief": "pools handed over", "pools": known.len(), "told": count });
+    info!(target: "decision.belief", "{line}");
+}
+
+/// Returns what is known of a pool; nothing of one that is not open here.
+pub(crate) fn known(node: &Node, ask: &PoolAsk) -> PoolEvidence {
+    let id = node.owner.id(&ask.service, &ask.area);
+    let now_ms = node.now_ms();
+    let found = node.owner.with(id, |pools| {
+        pools.get(&id).map(|state| evidence(state, now_ms))
+    });
+    found.unwrap_or_else(|| nothing(&ask.service, &ask.area))
+}
+
+/// Takes over what another instance knows of a pool, opening it if need be.
+pub(crate) fn take_over(node: &Node, evidence: &PoolEvidence) {
+    let id = node.owner.id(&evidence.service, &evidence.area);
+    let now_ms = node.now_ms();
+    node.owner.with(id, |pools| {
+        let state = pools.entry(id).or_insert_with(|| {
+            let mut state = PoolState::new(&evidence.service, &evidence.area, now_ms);
+            list_pool(node, &mut state, &node.view.load(), now_ms);
+            state
+        });
+        adopt_evidence(state, evidence, node.settings.retry_window_ms, now_ms);
+    });
+    node.pool_opened.notify_one();
+}
+
+fn adopt_evidence(state: &mut PoolState, evidence: &PoolEvidence, window_ms: u64, now_ms: u64) {
+    for server in &evidence.servers {
+        let Some(index) = state.pool.names.find(&server.server) else {
+            continue;
+        };
+        let same = state
+            .notes
+            .get(index)
+            .is_some_and(|note| note.born_ms == server.born_ms);
+        if same {
+            let heard = Heard {
+                belief: server.belief_milli as f64 / 1_000.0,
+                age_ms: server.age_ms,
+                usual_us: server.usual_us as f64,
+                whole_count: server.whole_count,
+            };
+            adopt(&mut state.health, index, heard, now_ms);
+        }
+    }
+    let tail = Tail {
+        tail_us: evidence.tail_us as f64,
+        count: evidence.tail_count,
+    };
+    adopt_tail(&mut state.health, tail);
+    commands::adopt_service_time(&mut state.pool, evidence.service_us as f64);
+    let (requests, retries) = (evidence.requests, evidence.retries);
+    commands::adopt_counts(&mut state.budget, window_ms, requests, retries, now_ms);
+    restand(state, now_ms);
+}
+
+fn evidence(state: &PoolState, now_ms: u64) -> PoolEvidence {
+    let (requests, retries) = queries::counts(&state.budget);
+    let servers = state.health.servers.iter().filter_map(|(index, entry)| {
+        let note = state.notes.get(index).filter(|note| note.listed)?;
+        let age_ms = now_ms.saturating_sub(entry.belief_ms);
+        (entry.whole_count > 0 && age_ms < OLD_MS).then(|| ServerEvidence {
+            server: state.pool.names.name(index).to_owned(),
+            born_ms: note.born_ms,
+            belief_milli: (entry.belief * 1_000.0) as i64,
+            age_ms,
+            usual_us: entry.usual_us as u64,
+            whole_count: entry.whole_count,
+        })
+    });
+    PoolEvidence {
+        tail_us: state.health.tail.tail_us as u64,
+        tail_count: state.health.tail.count,
+        service_us: queries::service_us(&state.pool) as u64,
+        requests,
+        retries,
+        servers: servers.collect(),
+        ..nothing(&state.service, &state.area)
+    }
+}
+
+fn nothing(service: &str, area: &str) -> PoolEvidence {
+    PoolEvidence {
+        service: service.to_owned(),
+        area: area.to_owned(),
+        tail_us: 0,
+        tail_count: 0,
+        service_us: 0,
+        requests: 0,
+        retries: 0,
+        servers: Vec::new(),
+    }
+}
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        commands::{fold_ejections::follow_service, pool_list::list_pool},
+        commands::{fold_ejections::follow_service, hand_over, pool_list::list_pool},
         owner::{PoolId, PoolState},
         Node,
     },
@@ -35,13 +35,13 @@
 const NEGLECT_SAFE_MS: u64 = 800;
 /// The same for any request, in milliseconds: a new server is to have work within four seconds.
 const NEGLECT_MS: u64 = 2_000;
-/// Share of failed work from which servers without work are used as well, in percent; a service whose failures pass
-/// a tenth must spread its work.
-const SPREAD_FROM_PERCENT: u32 = 7;
+/// Share of failed work from which servers without work are used as well, in percent. A service whose failures pass a
+/// tenth must spread its work; below, spreading would only send work to servers that fail it, and keep the share up.
+const SPREAD_FROM_PERCENT: u32 = 10;
 /// Window in which a server counts as used, in milliseconds; below the two seconds that are looked at.
-const SPREAD_WINDOW_MS: u64 = 1_500;
+const SPREAD_WINDOW_MS: u64 = 1_700;
 /// Share of a pool's servers that are to be used in that window, in percent; above the seven tenths asked for.
-const SPREAD_SHARE_PERCENT: u32 = 80;
+const SPREAD_SHARE_PERCENT: u32 = 75;
 
 enum Step {
     Granted(PermitAnswer),
@@ -56,6 +56,9 @@
     let id = node.owner.id(&ask.service, &ask.area);
     let until = tokio::time::Instant::from_std(asked) + Duration::from_millis(QUEUE_WAIT_MS);
     let deadline_ms = node.now_ms() + ask.remaining_ms;
+    if node.owner.with(id, |pools| !pools.contains_key(&id)) {
+        open_here(node, id, ask).await;
+    }
     let mut ticket = ask.ticket;
     loop {
         let step = step(node, id, ask, ticket, deadline_ms);
@@ -94,20 +97,26 @@
 ) -> Step {
     let now_ms = node.now_ms();
     let terms = terms(node, ask);
-    let (step, is_new) = node.owner.with(id, |pools| {
-        let is_new = !pools.contains_key(&id);
+    node.owner.with(id, |pools| {
         let state = open_pool(node, pools, id, ask, now_ms);
         state.asked_ms = now_ms;
         let wish = wish(state, ask, deadline_ms, now_ms);
-        (try_take(state, wish, ticket, ask, terms, now_ms), is_new)
+        try_take(state, wish, ticket, ask, terms, now_ms)
+    })
+}
+
+/// Opens a pool that is new here, with what others know of it.
+async fn open_here(node: &Arc<Node>, id: PoolId, ask: &PermitAsk) {
+    let now_ms = node.now_ms();
+    node.owner.with(id, |pools| {
+        open_pool(node, pools, id, ask, now_ms);
     });
-    if is_new {
-        node.pool_opened.notify_one();
-        if !node.settings.uses_store {
-            follow_service(node, &ask.service);
-        }
+    node.pool_opened.notify_one();
+    if node.settings.uses_store {
+        hand_over::ask_others(node, &ask.service, &ask.area).await;
+    } else {
+        follow_service(node, &ask.service);
     }
-    step
 }
 
 /// The retries that a pool may grant.
--- a/crates/daemon/src/commands/rpc.rs
+++ b/crates/daemon/src/commands/rpc.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        commands::{answer_ask, eject::own_proved, pool_return, pool_take},
+        commands::{answer_ask, eject::own_proved, hand_over, pool_return, pool_take},
         queries::config_answer,
         Node, Stage,
     },
@@ -13,7 +13,9 @@
     },
     std::{future::Future, io, net::TcpListener, sync::Arc},
     types::ResultCode,
-    wire::generated::{AnswerAsk, ConfigAsk, PermitAsk, PermitReturn, ProvedAsk, SyncAsk},
+    wire::generated::{
+        AnswerAsk, ConfigAsk, PermitAsk, PermitReturn, PoolAsk, PoolEvidence, ProvedAsk, SyncAsk,
+    },
 };
 
 /// Most connections from other instances.
@@ -74,6 +76,19 @@
     add(&mut module, "proved", |node, ask: ProvedAsk| async move {
         Ok(own_proved(&node, &ask.service, &ask.area, None))
     })?;
+    add(
+        &mut module,
+        "pool_evidence",
+        |node, ask: PoolAsk| async move { Ok(hand_over::known(&node, &ask)) },
+    )?;
+    add(
+        &mut module,
+        "pool_adopt",
+        |node, evidence: PoolEvidence| async move {
+            hand_over::take_over(&node, &evidence);
+            Ok(true)
+        },
+    )?;
     add(&mut module, "sync", |node, ask: SyncAsk| async move {
         match node.feed.get() {
             Some(feed) => {
--- a/crates/daemon/src/commands/start.rs
+++ b/crates/daemon/src/commands/start.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        commands::{assemble, logging::start_logging, members, reload, rpc},
+        commands::{assemble, hand_over, logging::start_logging, members, reload, rpc},
         Node, Settings, SettingsError, Stage,
     },
     bpaf::Bpaf,
@@ -224,6 +224,7 @@
         log_event("stop");
         self.node.advance(Stage::Leaving);
         if let Some(feed) = self.node.feed.get() {
+            hand_over::tell_successors(&self.node).await;
             feed::commands::withdraw(feed).await;
         }
         sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
--- a/crates/outlier/tests/detection.rs
+++ b/crates/outlier/tests/detection.rs
@@ -2,8 +2,10 @@
 
 use {
     outlier::{
-        commands::{begin_ejection, end_ejection, observe, observe_flight, plan_trials},
-        queries::{judge, proved_slots, stands_out},
+        commands::{
+            adopt, begin_ejection, end_ejection, observe, observe_flight, plan_trials, Heard,
+        },
+        queries::{cost_permille, judge, proved_slots, stands_out},
         Evidence, Health, Opinion, Sensitivity, ServerHealth,
     },
     quickcheck::quickcheck,
@@ -213,6 +215,45 @@
     );
 }
 
+#[test]
+fn adopt_successor_knows_failing_server() {
+    let mut before = warm(3);
+    let failing = ServerIndex::from(1);
+    observe(
+        &mut before,
+        failing,
+        Evidence::Failed,
+        Sensitivity::fast(),
+        1_000,
+    );
+    let known = before.servers.get(failing).expect("listed");
+    let heard = Heard {
+        belief: known.belief,
+        age_ms: 500,
+        usual_us: known.usual_us,
+        whole_count: known.whole_count,
+    };
+    let mut after = Health::new();
+    for _ in 0..3 {
+        after.servers.push(ServerHealth::new(20));
+    }
+    adopt(&mut after, failing, heard, 1_500);
+    assert!(is_suspect(&after, 1));
+    let cost = |index| cost_permille(&after, ServerIndex::from(index), 1_500);
+    assert!(cost(1) > 2 * cost(0), "{} {}", cost(1), cost(0));
+    // What the successor has seen itself since then goes first.
+    let mut seen = warm(3);
+    observe(
+        &mut seen,
+        failing,
+        whole(USUAL_US),
+        Sensitivity::fast(),
+        2_000,
+    );
+    adopt(&mut seen, failing, heard, 2_000);
+    assert!(!is_suspect(&seen, 1));
+}
+
 #[test]
 fn proved_slots_stale_proof() {
     let health = warm(3);
--- a/crates/permit/src/commands.rs
+++ b/crates/permit/src/commands.rs
@@ -6,8 +6,8 @@
 mod take;
 
 pub use self::{
-    budget::{forget_old, note_request, spend},
+    budget::{adopt_counts, forget_old, note_request, spend},
     list::list_server,
     queue::{drop_silent_waiters, enqueue, hear, leave_queue},
-    take::{expire, give_back, mark_overdue, take, withdraw_ask},
+    take::{adopt_service_time, expire, give_back, mark_overdue, take, withdraw_ask},
 };
--- a/crates/permit/src/commands/budget.rs
+++ b/crates/permit/src/commands/budget.rs
@@ -21,6 +21,13 @@
     allowed
 }
 
+/// Takes over the counts of an earlier owner, as if they had happened now.
+pub fn adopt_counts(budget: &mut Budget, window_ms: u64, requests: u32, retries: u32, now_ms: u64) {
+    let count = current(budget, window_ms, now_ms);
+    count.requests += requests;
+    count.retries += retries;
+}
+
 /// Forgets what has left the window.
 pub fn forget_old(budget: &mut Budget, window_ms: u64, now_ms: u64) {
     current(budget, window_ms, now_ms);
--- a/crates/permit/src/commands/take.rs
+++ b/crates/permit/src/commands/take.rs
@@ -48,6 +48,13 @@
     Some(permit)
 }
 
+/// Takes over an earlier owner's mean service time, if none is known.
+pub fn adopt_service_time(pool: &mut Pool, service_us: f64) {
+    if pool.service_us == 0.0 {
+        pool.service_us = service_us;
+    }
+}
+
 /// Takes back the permit of an ask whose asker did not hear of the grant, and forgets the ask if it waits.
 pub fn withdraw_ask(pool: &mut Pool, ask: u64) -> Option<Permit> {
     pool.queue.retain(|waiter| waiter.wish.ask != ask);
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -1,7 +1,7 @@
 //! Queries over a pool; none of them changes it.
 
 use {
-    crate::{Budget, Choice, Pool, Refusal, Server, Standing, Waiter, Wish},
+    crate::{budget::Count, Budget, Choice, Pool, Refusal, Server, Standing, Waiter, Wish},
     types::ServerIndex,
 };
 
@@ -98,10 +98,21 @@
     has_good(pool) && wait_us(pool, pool.queue.len()) <= pool.service_us * SPURN_SERVICE_TIMES
 }
 
+/// Returns the requests and the retries counted in the window.
+pub fn counts(budget: &Budget) -> (u32, u32) {
+    let sum = |of: &dyn Fn(&Count) -> u32| budget.counts.iter().map(of).sum();
+    (sum(&|count| count.requests), sum(&|count| count.retries))
+}
+
+/// Returns the mean service time, in microseconds; 0 before the first whole answer.
+pub fn service_us(pool: &Pool) -> f64 {
+    pool.service_us
+}
+
 /// Tells whether retries are left in the window: `percent` of its requests, and `slack` more.
 pub fn may_retry(budget: &Budget, percent: u32, slack: u32) -> bool {
-    let requests: u64 = budget.counts.iter().map(|c| u64::from(c.requests)).sum();
-    let retries: u64 = budget.counts.iter().map(|c| u64::from(c.retries)).sum();
+    let (requests, retries) = counts(budget);
+    let (requests, retries) = (u64::from(requests), u64::from(retries));
     (retries + 1) * 100 <= requests * u64::from(percent) + u64::from(slack) * 100
 }
 
--- a/crates/permit/src/recent.rs
+++ b/crates/permit/src/recent.rs
@@ -2,9 +2,9 @@
 
 /// Time in which what happened fades to a third, in milliseconds: the window in which an unevenly used service is
 /// noticed is two seconds.
-const FADE_MS: f64 = 1_000.0;
+const FADE_MS: f64 = 1_500.0;
 /// Least weight of outcomes from which a share is given; below it a single failure would say too much.
-const LEAST_WEIGHT: f64 = 4.0;
+const LEAST_WEIGHT: f64 = 8.0;
 
 /// Outcomes of late, each weighed by its age.
 #[derive(Clone, Copy, Debug, Default)]
