Hear of changes in time when a third of a large fleet is cut off

Ruled out: too little processor time on the smallest instances (4 % of 0.07 core in use).

Change: of a report and an end that come by different ways the one known later counts; records may have lapsed only after 3.5 s without news; who feeds others reads as soon as there is no fresh news, all others wait for an instance that answers; reading lasts 4 s at least; freshness is the older of list's and configuration's; all other candidates are asked at once when the first gives no news, and silent ones are passed over for 1.5 s and more.

--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -95,7 +95,7 @@
             let known_answer = queries::config_answer(&answer, known);
             (known_answer.version > known).then_some(known_answer)
         }),
-        publish: Box::new(move |view| list.view.store(Arc::new(view))),
+        publish: Box::new(move |view| list.view.store(view)),
     }
 }
 
--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -32,7 +32,10 @@
 
 /// Publishes the list to the node and wakes whoever waits for a change.
 fn publish(feed: &Feed) {
-    let view = feed.lists.with(0, |lists| queries::view(lists));
+    let view = feed.lists.with(0, |lists| {
+        lists.view = Arc::new(queries::view(lists));
+        Arc::clone(&lists.view)
+    });
     (feed.hooks.publish)(view);
     feed.changed.send_modify(|count| *count += 1);
 }
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -23,6 +23,10 @@
 /// Time between looks for servers that did not come back after the platform's return, in milliseconds.
 const SETTLE_INTERVAL_MS: u64 = 500;
 
+/// Time without news after which records may have lapsed, in milliseconds: less than the three heartbeats of a second
+/// and a half after which the platform drops them.
+const LAPSE_MS: u64 = 3_500;
+
 /// Wakes whoever waits for a newer configuration from this instance.
 pub fn note_config_changed(feed: &Feed) {
     feed.changed.send_modify(|count| *count += 1);
@@ -31,6 +35,9 @@
 /// Puts what was read of the configuration in force.
 pub(crate) fn configuration(feed: &Feed, reading: &Reading<Published>) {
     faults("configuration", &reading.faults);
+    let now_ms = feed.now_ms();
+    feed.lists
+        .with(0, |lists| lists.config_as_of_ms = Some(now_ms));
     for published in reading
         .changes
         .iter()
@@ -40,19 +47,21 @@
     }
 }
 
-/// Applies what was read of the servers; `was_away` if the platform did not answer before.
-pub(crate) fn servers(feed: &Feed, reading: &Reading<BackendServer>, was_away: bool) {
+/// Applies what was read of the servers. If nothing was heard of them for so long that their records may have lapsed
+/// while the platform was away, those that are missing get time to come back.
+pub(crate) fn servers(feed: &Feed, reading: &Reading<BackendServer>) {
     faults("server", &reading.faults);
     let now_ms = feed.now_ms();
     let changed = feed.lists.with(0, |lists| {
         let roster = &mut lists.roster;
-        if was_away {
+        let heard_ms = lists.as_of_ms.unwrap_or(now_ms);
+        if now_ms.saturating_sub(heard_ms) >= LAPSE_MS {
             source_back(roster, now_ms);
         }
         let mut changed = false;
         for change in &reading.changes {
             let did = match &change.value {
-                Some(server) => report_server(roster, server),
+                Some(server) => report_server(roster, server, now_ms),
                 None => drop_server(roster, &change.name, now_ms),
             };
             if did {
@@ -117,8 +126,9 @@
         if !is_fresh && lists.as_of_ms.is_some_and(|known_ms| known_ms >= as_of_ms) {
             return false;
         }
-        let changed = merge(&mut lists.roster, &delta, &feed.own.name);
+        let changed = merge(&mut lists.roster, &delta, &feed.own.name, as_of_ms);
         lists.as_of_ms = lists.as_of_ms.max(Some(as_of_ms));
+        lists.config_as_of_ms = lists.config_as_of_ms.max(Some(as_of_ms));
         lists.taken_from = (answer.feed, answer.list_version);
         changed
     });
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -2,8 +2,12 @@
 
 use {
     crate::{commands::apply, queries, Feed},
+    futures_util::stream::{FuturesUnordered, StreamExt},
     log::info,
-    member::{queries::feeds, Instance, View},
+    member::{
+        queries::{feeds, feeds_others},
+        Instance, View,
+    },
     serde_json::json,
     std::{sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -12,11 +16,21 @@
 
 /// How long another instance waits for a change before it answers, in milliseconds; bounds how long one that went
 /// silent is waited for.
-const SYNC_WAIT_MS: u64 = 600;
-/// Time allowed for an answer beyond that wait, in milliseconds; slow instances have a tenth of a core.
-const SYNC_MARGIN_MS: u64 = 250;
+const SYNC_WAIT_MS: u64 = 500;
+/// Time allowed for an answer beyond that wait, in milliseconds; slow instances have a tenth of a core, and a lost
+/// packet costs a fifth of a second.
+const SYNC_MARGIN_MS: u64 = 600;
+/// First time for which an instance that did not answer is not asked for news, in milliseconds.
+const SILENT_FIRST_MS: u64 = 1_500;
+/// Longest time for which it is not asked, in milliseconds.
+const SILENT_MAX_MS: u64 = 12_000;
 /// Age from which another instance's list is no news, in milliseconds.
 const STALE_MS: u64 = 2_500;
+/// Age up to which the list of an instance that answers is waited with, in milliseconds: while the platform is away
+/// for everybody, reads by everybody would only be paid for.
+const PATIENCE_MS: u64 = 5_000;
+/// Least time for which an instance reads the platform once it began, in milliseconds.
+const READS_HOLD_MS: u64 = 4_000;
 /// Time between looks at who reads, for an instance that does, in milliseconds.
 const ROOT_LOOK_MS: u64 = 400;
 /// Pause after nobody gave news, in milliseconds; jitter up to as much again is added.
@@ -29,7 +43,7 @@
     learn_instances(&feed).await;
     let mut changed = feed.changed.subscribe();
     loop {
-        let view = feed.lists.with(0, |lists| queries::view(lists));
+        let view = feed.lists.with(0, |lists| Arc::clone(&lists.view));
         let preferred = feeds(&view, &feed.own.name);
         let is_root = preferred.is_empty();
         if is_root {
@@ -42,13 +56,22 @@
             sleep(Duration::from_millis(ROOT_LOOK_MS)).await;
             continue;
         }
-        if !pull_any(&feed, &candidates(&feed, &view, preferred)).await {
+        // Those to whom others turn do not wait for whoever is first.
+        let least = if feeds_others(&view, &feed.own.name) {
+            News::Fresh
+        } else {
+            News::Waiting
+        };
+        let news = pull_any(&feed, &candidates(&feed, &view, preferred)).await;
+        if news < least {
             set_reads(&feed, true, "no other gives news");
-            let pause_ms = LONELY_PAUSE_MS + fastrand::u64(0..=LONELY_PAUSE_MS);
-            sleep(Duration::from_millis(pause_ms)).await;
         } else if !is_root {
             set_reads(&feed, false, "others give news");
         }
+        if news != News::Fresh {
+            let pause_ms = LONELY_PAUSE_MS + fastrand::u64(0..=LONELY_PAUSE_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
     }
 }
 
@@ -65,7 +88,14 @@
 /// Whom to ask, in order: those whose task it is, then one at random, who may have news that they lack; the seeds if
 /// nobody else is known.
 fn candidates(feed: &Feed, view: &View, preferred: Vec<&Instance>) -> Vec<Instance> {
-    let usable = |instance: &&Instance| !(feed.hooks.is_skipped)(&instance.name);
+    let now_ms = feed.now_ms();
+    let silent = feed.lists.with(0, |lists| lists.silent.clone());
+    let usable = |instance: &&Instance| {
+        let is_silent = silent
+            .get(&instance.name)
+            .is_some_and(|(_, until_ms)| now_ms < *until_ms);
+        !is_silent && !(feed.hooks.is_skipped)(&instance.name)
+    };
     let mut chosen: Vec<Instance> = preferred.into_iter().filter(usable).cloned().collect();
     let others: Vec<&Instance> = member::queries::live_instances(view)
         .filter(usable)
@@ -83,17 +113,39 @@
     chosen
 }
 
-async fn pull_any(feed: &Feed, candidates: &[Instance]) -> bool {
-    for peer in candidates {
-        if pull_one(feed, peer).await {
-            return true;
+/// What another instance gave.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum News {
+    /// No answer.
+    Silent,
+    /// An answer that is too old to go by.
+    Old,
+    /// An answer that is not fresh; its sender is alive and will hear sooner than this instance would.
+    Waiting,
+    /// Fresh news.
+    Fresh,
+}
+
+/// Asks the first; if it gives no fresh news, all others at once, so that several that went silent cost one wait.
+async fn pull_any(feed: &Feed, candidates: &[Instance]) -> News {
+    let Some((first, others)) = candidates.split_first() else {
+        return News::Silent;
+    };
+    let mut best = pull_one(feed, first).await;
+    if best == News::Fresh {
+        return best;
+    }
+    let mut asked: FuturesUnordered<_> = others.iter().map(|peer| pull_one(feed, peer)).collect();
+    while let Some(news) = asked.next().await {
+        best = best.max(news);
+        if best == News::Fresh {
+            break;
         }
     }
-    false
+    best
 }
 
-/// Asks one instance; returns whether it gave fresh news.
-async fn pull_one(feed: &Feed, peer: &Instance) -> bool {
+async fn pull_one(feed: &Feed, peer: &Instance) -> News {
     let known_version = (feed.hooks.config_version)();
     let (known_feed, known_list) = feed.lists.with(0, |lists| lists.taken_from);
     let ask = SyncAsk {
@@ -105,15 +157,43 @@
     };
     let limit_ms = SYNC_WAIT_MS + SYNC_MARGIN_MS;
     let Some(answer) = (feed.hooks.sync)(peer.clone(), ask, limit_ms).await else {
-        return false;
+        note_silent(feed, &peer.name);
+        return News::Silent;
     };
+    feed.lists.with(0, |lists| lists.silent.remove(&peer.name));
     let knows_config = answer.config.is_some() || known_version > 0;
-    let is_fresh = answer.source_age_ms < STALE_MS && knows_config;
-    apply::answer(feed, &answer, is_fresh);
-    is_fresh
+    let news = match answer.source_age_ms {
+        age_ms if age_ms < STALE_MS && knows_config => News::Fresh,
+        age_ms if age_ms < PATIENCE_MS && knows_config => News::Waiting,
+        _ => News::Old,
+    };
+    apply::answer(feed, &answer, news == News::Fresh);
+    news
 }
 
+/// An instance that gave no answer is passed over here for longer than for a slot, since waiting for it delays
+/// every change; the time doubles with each failure in a row.
+fn note_silent(feed: &Feed, name: &str) {
+    let now_ms = feed.now_ms();
+    feed.lists.with(0, |lists| {
+        let (failures, until_ms) = lists.silent.entry(name.to_owned()).or_default();
+        *until_ms = now_ms + (SILENT_FIRST_MS << (*failures).min(4)).min(SILENT_MAX_MS);
+        *failures += 1;
+    });
+}
+
+/// Whoever begins to read goes on for a while, since one reading may show an old state.
 fn set_reads(feed: &Feed, reads: bool, reason: &str) {
+    let now_ms = feed.now_ms();
+    let holds = feed.lists.with(0, |lists| {
+        if reads {
+            lists.reads_until_ms = now_ms + READS_HOLD_MS;
+        }
+        now_ms < lists.reads_until_ms
+    });
+    if !reads && holds {
+        return;
+    }
     let is_new = feed
         .reads
         .send_if_modified(|known| std::mem::replace(known, reads) != reads);
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -25,7 +25,7 @@
 
 /// Follows the configuration.
 pub async fn read_configuration(feed: Arc<Feed>) {
-    let take = |reading: &Reading<_>, _| apply::configuration(&feed, reading);
+    let take = |reading: &Reading<_>| apply::configuration(&feed, reading);
     read_list(
         &feed,
         "configuration",
@@ -38,13 +38,13 @@
 
 /// Follows the servers.
 pub async fn read_servers(feed: Arc<Feed>) {
-    let take = |reading: &Reading<_>, was_away| apply::servers(&feed, reading, was_away);
+    let take = |reading: &Reading<_>| apply::servers(&feed, reading);
     read_list(&feed, "servers", &feed.source.servers, SERVER_PACE_MS, take).await;
 }
 
 /// Follows the instances.
 pub async fn read_instances(feed: Arc<Feed>) {
-    let take = |reading: &Reading<_>, _| apply::instances(&feed, reading);
+    let take = |reading: &Reading<_>| apply::instances(&feed, reading);
     read_list(
         &feed,
         "instances",
@@ -62,7 +62,7 @@
     pace_ms: u64,
     take: Take,
 ) where
-    Take: Fn(&Reading<Value>, bool),
+    Take: Fn(&Reading<Value>),
 {
     let mut reads = feed.reads.subscribe();
     loop {
@@ -81,7 +81,7 @@
     pace_ms: u64,
     take: &Take,
 ) where
-    Take: Fn(&Reading<Value>, bool),
+    Take: Fn(&Reading<Value>),
 {
     let mut from = None;
     let mut failures: u32 = 0;
@@ -96,7 +96,7 @@
                     dependency(what, "regained", failures);
                 }
                 from = Some(reading.next);
-                take(&reading, failures > 0);
+                take(&reading);
                 failures = 0;
                 sleep(Duration::from_millis(pace_ms)).await;
             }
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -24,10 +24,15 @@
     feed.lists.with(0, |lists| lists.as_of_ms.is_some())
 }
 
-/// Returns the time since what the list was made from was heard of the platform, in milliseconds.
+/// Returns the time since both the list of servers and the configuration were heard of the platform, in milliseconds.
 pub fn source_age_ms(feed: &Feed) -> u64 {
     let now_ms = feed.now_ms();
-    let as_of_ms = feed.lists.with(0, |lists| lists.as_of_ms);
+    let as_of_ms = feed.lists.with(0, |lists| {
+        let list_ms = lists.as_of_ms?;
+        lists
+            .config_as_of_ms
+            .map(|config_ms| config_ms.min(list_ms))
+    });
     as_of_ms.map_or(NEVER_WHOLE_MS, |as_of_ms| now_ms.saturating_sub(as_of_ms))
 }
 
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -4,8 +4,12 @@
     futures_util::future::BoxFuture,
     member::{Instance, Presence, Roster, View},
     std::{
+        collections::HashMap,
         net::SocketAddr,
-        sync::atomic::{AtomicBool, Ordering},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
         time::Instant,
     },
     stream::{Published, Source},
@@ -33,16 +37,24 @@
     /// Returns the configuration in force if it is newer than a version.
     pub config_answer: Box<dyn Fn(u64) -> Option<ConfigAnswer> + Send + Sync>,
     /// Takes the list of servers and instances whenever it changed.
-    pub publish: Box<dyn Fn(View) + Send + Sync>,
+    pub publish: Box<dyn Fn(Arc<View>) + Send + Sync>,
 }
 
 /// What is known of the lists.
 #[derive(Debug, Default)]
 pub(crate) struct Lists {
     pub(crate) roster: Roster,
+    /// The roster, indexed; made anew with each change.
+    pub(crate) view: Arc<View>,
+    /// Failures in a row of instances that gave no answer, and until when each is not asked, in milliseconds.
+    pub(crate) silent: HashMap<String, (u32, u64)>,
     /// As of when the list of servers is known, in milliseconds of the feed's clock; none before the first whole
     /// list.
     pub(crate) as_of_ms: Option<u64>,
+    /// As of when the configuration is known, in milliseconds of the feed's clock; none before it was heard of.
+    pub(crate) config_as_of_ms: Option<u64>,
+    /// Until when this instance goes on reading the platform, in milliseconds of the feed's clock.
+    pub(crate) reads_until_ms: u64,
     /// The process that the list was taken from last, and the version of its list.
     pub(crate) taken_from: (u64, u64),
 }
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -21,10 +21,10 @@
     }
 }
 
-/// Takes in a server's report unless a newer one of the same server is known.
-pub fn report_server(roster: &mut Roster, server: &BackendServer) -> bool {
+/// Takes in a server's report, known as of `as_of_ms`, unless a newer one of the same server or its end is known.
+pub fn report_server(roster: &mut Roster, server: &BackendServer, as_of_ms: u64) -> bool {
     let stamp = stamp_of(server);
-    if is_stale(roster, &server.name, true, stamp) {
+    if is_stale(roster, &server.name, true, stamp, as_of_ms) {
         return false;
     }
     if let Some(known) = roster.servers.get_mut(&server.name) {
@@ -32,6 +32,7 @@
             return false;
         }
         known.stamp = stamp;
+        known.as_of_ms = known.as_of_ms.max(as_of_ms);
         known.gone_at_ms = None;
         if same_but_counts(&known.value, server) {
             // Nothing to hear of, but whoever asks for the server later is to know how new this is.
@@ -43,6 +44,7 @@
     let known = Known {
         value: server.clone(),
         stamp,
+        as_of_ms,
         changed: roster.version,
         gone_at_ms: None,
     };
@@ -56,7 +58,7 @@
         born_ms: instance.incarnation,
         sequence: 0,
     };
-    if is_stale(roster, &instance.name, false, stamp) {
+    if is_stale(roster, &instance.name, false, stamp, u64::MAX) {
         return false;
     }
     if let Some(known) = roster.instances.get(&instance.name) {
@@ -70,6 +72,7 @@
     let known = Known {
         value: instance.clone(),
         stamp,
+        as_of_ms: 0,
         changed: roster.version,
         gone_at_ms: None,
     };
@@ -87,7 +90,7 @@
         }
         return false;
     }
-    remove_server(roster, name)
+    remove_server(roster, name, now_ms)
 }
 
 /// Notes that an instance is gone.
@@ -95,7 +98,7 @@
     let Some(known) = roster.instances.remove(name) else {
         return false;
     };
-    bury(roster, name, false, known.stamp);
+    bury(roster, name, false, known.stamp, 0);
     true
 }
 
@@ -147,60 +150,60 @@
     let names: Vec<String> = servers.map(|(name, _)| name.clone()).collect();
     names
         .iter()
-        .fold(false, |any, name| remove_server(roster, name) | any)
+        .fold(false, |any, name| remove_server(roster, name, now_ms) | any)
 }
 
-/// Takes in what another instance says has changed. What it says is gone has been waited for there; what a
-/// whole list lacks is only gone once its sender has settled.
-pub fn merge(roster: &mut Roster, delta: &Delta, own: &str) -> bool {
+/// Takes in what another instance says has changed, which it knew as of `as_of_ms`. What it says is gone has been
+/// waited for there; what a whole list lacks is only gone once its sender has settled.
+pub fn merge(roster: &mut Roster, delta: &Delta, own: &str, as_of_ms: u64) -> bool {
     let mut any = false;
     for server in &delta.servers {
-        any |= report_server(roster, server);
+        any |= report_server(roster, server, as_of_ms);
     }
     for instance in delta.instances.iter().filter(|other| other.name != own) {
         any |= report_instance(roster, instance);
     }
     for (name, stamp) in &delta.gone_servers {
         if let Some(known) = roster.servers.get_mut(name) {
-            if stamp.is_older(known.stamp) {
+            if known.as_of_ms > as_of_ms {
                 continue;
             }
-            known.stamp = *stamp;
+            known.stamp = known.stamp.max(*stamp);
         }
-        any |= remove_server(roster, name);
+        any |= remove_server(roster, name, as_of_ms);
     }
     for name in delta.gone_instances.iter().filter(|name| *name != own) {
         any |= drop_instance(roster, name);
     }
     if delta.whole && delta.settled {
         let lacks = |name: &String| !delta.servers.iter().any(|server| server.name == *name);
-        let names: Vec<String> = roster
+        let older = roster
             .servers
-            .keys()
-            .filter(|name| lacks(name))
-            .cloned()
-            .collect();
+            .iter()
+            .filter(|(name, known)| known.as_of_ms <= as_of_ms && lacks(name));
+        let names: Vec<String> = older.map(|(name, _)| name.clone()).collect();
         for name in names {
-            any |= remove_server(roster, &name);
+            any |= remove_server(roster, &name, as_of_ms);
         }
     }
     any
 }
 
-fn remove_server(roster: &mut Roster, name: &str) -> bool {
+fn remove_server(roster: &mut Roster, name: &str, as_of_ms: u64) -> bool {
     let Some(known) = roster.servers.remove(name) else {
         return false;
     };
-    bury(roster, name, true, known.stamp);
+    bury(roster, name, true, known.stamp, as_of_ms);
     true
 }
 
-fn bury(roster: &mut Roster, name: &str, is_server: bool, stamp: Stamp) {
+fn bury(roster: &mut Roster, name: &str, is_server: bool, stamp: Stamp, as_of_ms: u64) {
     roster.version += 1;
     roster.graves.push_back(Grave {
         name: name.to_owned(),
         is_server,
         stamp,
+        as_of_ms,
         changed: roster.version,
     });
     if roster.graves.len() > GRAVES_MAX {
@@ -210,12 +213,15 @@
     }
 }
 
-/// Tells whether a machine of that name left with a report as new as this one; a write that the platform
-/// executed late must not bring it back.
-fn is_stale(roster: &Roster, name: &str, is_server: bool, stamp: Stamp) -> bool {
+/// Tells whether a machine of that name left after this report, or was known to be gone when the report was known;
+/// neither a write that the platform executed late nor an instance that heard nothing must bring it back.
+fn is_stale(roster: &Roster, name: &str, is_server: bool, stamp: Stamp, as_of_ms: u64) -> bool {
     let mut graves = roster.graves.iter().rev();
     let last = graves.find(|grave| grave.is_server == is_server && grave.name == name);
-    last.is_some_and(|grave| stamp.is_older(grave.stamp))
+    last.is_some_and(|grave| {
+        stamp.is_older(grave.stamp)
+            || (as_of_ms < grave.as_of_ms && stamp.born_ms <= grave.stamp.born_ms)
+    })
 }
 
 /// A report that differs only in its count, or in how long the server stays cold, is nothing to hear of.
--- a/crates/member/src/queries.rs
+++ b/crates/member/src/queries.rs
@@ -6,7 +6,7 @@
 pub use self::{
     roster::{delta, is_settled, list_version, view},
     view::{
-        feeds, find_instance, is_skipped, live_instances, owner_order, pool_areas, pool_servers,
-        task_order, task_owner,
+        feeds, feeds_others, find_instance, is_skipped, live_instances, owner_order, pool_areas,
+        pool_servers, task_order, task_owner,
     },
 };
--- a/crates/member/src/queries/view.rs
+++ b/crates/member/src/queries/view.rs
@@ -59,6 +59,14 @@
     feeds
 }
 
+/// Tells whether others turn to `own` for what changed: then it does not wait for long with old news itself.
+pub fn feeds_others(view: &View, own: &str) -> bool {
+    let roots = task_order(view, FEED_TASK, FEED_ROOTS);
+    let is_root = roots.iter().any(|instance| instance.name == own);
+    let is_large = live_instances(view).count() >= RELAY_FLEET;
+    is_root || (is_large && relay(view, own).is_none())
+}
+
 /// Returns the instance that passes changes on within the data centre of `own`, if the fleet is large and it is
 /// another one.
 fn relay<'a>(view: &'a View, own: &str) -> Option<&'a Instance> {
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -1,7 +1,8 @@
 //! What was learnt of servers and instances, one entry at a time.
 //!
-//! Invariants: an entry is never replaced by an older report of the same machine, also after it is gone; the
-//! version rises with each change that others must hear of, and each entry knows the version of its last change.
+//! Invariants: an entry is never replaced by an older report of the same machine, also after it is gone; of a report
+//! and an end that come by different ways, whichever was known later counts, since who hears of changes only does not
+//! hear of every report; the version rises with each change that others must hear of, and each entry knows the version of its last change.
 
 use {
     crate::{BackendServer, Instance},
@@ -29,6 +30,8 @@
 pub(crate) struct Known<Value> {
     pub(crate) value: Value,
     pub(crate) stamp: Stamp,
+    /// As of when it was known to be there, in milliseconds of this process.
+    pub(crate) as_of_ms: u64,
     /// Version of the roster at its last change.
     pub(crate) changed: u64,
     /// When it counts as gone unless it is reported again, in milliseconds; none if nothing speaks for it.
@@ -41,6 +44,8 @@
     pub(crate) name: String,
     pub(crate) is_server: bool,
     pub(crate) stamp: Stamp,
+    /// As of when it was known to be gone, in milliseconds of this process.
+    pub(crate) as_of_ms: u64,
     /// Version of the roster that it left with.
     pub(crate) changed: u64,
 }
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -3,7 +3,7 @@
 use {
     member::{
         commands::{drop_server, merge, report_server, retain_servers, settle, source_back},
-        queries::{delta, pool_servers, view},
+        queries::{delta, list_version, pool_servers, view},
         BackendServer, Presence, Roster,
     },
     quickcheck::quickcheck,
@@ -33,42 +33,42 @@
 /// What `to` knows after it heard everything new from `from`.
 fn hear(to: &mut Roster, from: &Roster, since: u64, now_ms: u64) -> u64 {
     let heard = delta(from, since, now_ms);
-    merge(to, &heard, "own");
+    merge(to, &heard, "own", now_ms);
     heard.version
 }
 
 #[test]
 fn report_server_older_never_undoes() {
     let mut roster = Roster::new();
-    assert!(report_server(&mut roster, &leaving("x", 100, 5)));
-    assert!(!report_server(&mut roster, &report("x", 100, 4)));
+    assert!(report_server(&mut roster, &leaving("x", 100, 5), 0));
+    assert!(!report_server(&mut roster, &report("x", 100, 4), 0));
     assert!(names(&roster).is_empty());
     // A restart under the same name counts from the start again.
-    assert!(report_server(&mut roster, &report("x", 200, 0)));
+    assert!(report_server(&mut roster, &report("x", 200, 0), 0));
     assert_eq!(names(&roster), ["x"]);
 }
 
 #[test]
 fn report_server_late_write_after_gone() {
     let mut roster = Roster::new();
-    report_server(&mut roster, &report("x", 100, 3));
+    report_server(&mut roster, &report("x", 100, 3), 0);
     // Counts that change nothing else still tell how new the server's last report was.
-    report_server(&mut roster, &report("x", 100, 8));
+    report_server(&mut roster, &report("x", 100, 8), 0);
     assert!(drop_server(&mut roster, "x", 0));
-    assert!(!report_server(&mut roster, &report("x", 100, 7)));
+    assert!(!report_server(&mut roster, &report("x", 100, 7), 0));
     assert!(names(&roster).is_empty());
-    assert!(report_server(&mut roster, &report("x", 100, 9)));
+    assert!(report_server(&mut roster, &report("x", 100, 9), 0));
 }
 
 #[test]
 fn merge_gone_server_stays_gone() {
     // One instance heard of a server early only, another has seen later reports of it, but not its end.
     let (mut reader, mut early, mut cut) = (Roster::new(), Roster::new(), Roster::new());
-    report_server(&mut reader, &report("x", 100, 1));
+    report_server(&mut reader, &report("x", 100, 1), 0);
     let since = hear(&mut early, &reader, 0, 0);
-    report_server(&mut reader, &report("x", 100, 7));
+    report_server(&mut reader, &report("x", 100, 7), 0);
     hear(&mut cut, &reader, 0, 0);
-    report_server(&mut reader, &report("x", 100, 8));
+    report_server(&mut reader, &report("x", 100, 8), 0);
     drop_server(&mut reader, "x", 0);
     hear(&mut early, &reader, since, 0);
     assert!(names(&early).is_empty());
@@ -79,14 +79,32 @@
     );
 }
 
+#[test]
+fn merge_gone_known_by_changes_only() {
+    // A reader has seen every report, the other instance only the first; still, what it knows later counts.
+    let (mut reader, mut other) = (Roster::new(), Roster::new());
+    report_server(&mut reader, &report("x", 100, 1), 0);
+    hear(&mut other, &reader, 0, 0);
+    report_server(&mut reader, &report("x", 100, 7), 1_000);
+    let since = list_version(&other);
+    drop_server(&mut other, "x", 2_000);
+    hear(&mut reader, &other, since, 2_000);
+    assert!(names(&reader).is_empty(), "kept against later news");
+    // And nobody who heard earlier brings it back.
+    let mut cut = Roster::new();
+    report_server(&mut cut, &report("x", 100, 9), 0);
+    hear(&mut other, &cut, 0, 1_500);
+    assert!(names(&other).is_empty());
+}
+
 #[test]
 fn retain_servers_late_write_in_place() {
     let mut roster = Roster::new();
-    report_server(&mut roster, &report("x", 100, 7));
+    report_server(&mut roster, &report("x", 100, 7), 0);
     // The record was dropped, then a write of before was executed; the list shows that one.
     assert!(retain_servers(&mut roster, 0, [report("x", 100, 5)].iter()));
     assert!(names(&roster).is_empty());
-    report_server(&mut roster, &report("x", 100, 8));
+    report_server(&mut roster, &report("x", 100, 8), 0);
     assert_eq!(names(&roster), ["x"]);
 }
 
@@ -94,12 +112,12 @@
 fn drop_server_while_unsettled() {
     let mut roster = Roster::new();
     for name in ["back", "gone"] {
-        report_server(&mut roster, &report(name, 100, 1));
+        report_server(&mut roster, &report(name, 100, 1), 0);
     }
     source_back(&mut roster, 10_000);
     assert!(!retain_servers(&mut roster, 10_100, [].iter()));
     assert_eq!(names(&roster), ["back", "gone"]);
-    report_server(&mut roster, &report("back", 100, 2));
+    report_server(&mut roster, &report("back", 100, 2), 0);
     assert!(!settle(&mut roster, 11_900));
     assert!(settle(&mut roster, 12_400));
     assert_eq!(names(&roster), ["back"]);
@@ -108,9 +126,9 @@
 #[test]
 fn merge_unsettled_whole_list() {
     let (mut known, mut fresh) = (Roster::new(), Roster::new());
-    report_server(&mut known, &report("x", 100, 1));
+    report_server(&mut known, &report("x", 100, 1), 0);
     source_back(&mut fresh, 0);
-    report_server(&mut fresh, &report("y", 100, 1));
+    report_server(&mut fresh, &report("y", 100, 1), 0);
     hear(&mut known, &fresh, 0, 100);
     assert_eq!(names(&known), ["x", "y"]);
     hear(&mut known, &fresh, 0, 5_000);
@@ -134,7 +152,7 @@
         }
         let mut roster = Roster::new();
         for one in &reports {
-            report_server(&mut roster, one);
+            report_server(&mut roster, one, 0);
         }
         let view = view(&roster);
         let slots: Vec<u32> = pool_servers(&view, "s", "a").map(|server| server.slots).collect();
@@ -152,7 +170,7 @@
             if ends {
                 drop_server(&mut from, &name, 0);
             } else {
-                report_server(&mut from, &report(&name, 100, sequence));
+                report_server(&mut from, &report(&name, 100, sequence), 0);
             }
             since = hear(&mut to, &from, since, 0);
         }
--- a/crates/stream/src/platform.rs
+++ b/crates/stream/src/platform.rs
@@ -16,8 +16,8 @@
     tokio::time::timeout,
 };
 
-/// Time allowed for a new connection, in milliseconds.
-pub const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Time allowed for a new connection, in milliseconds; an opening packet that is lost is sent again after a second.
+pub const CONNECT_TIMEOUT_MS: u64 = 1_100;
 /// Time after which an idle connection is closed, in milliseconds.
 pub const IDLE_TIMEOUT_MS: u64 = 5_000;
 
