--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,246 @@
+//! The system under test and what is kept of its run.
+
+use {
+    serde_json::{json, Value},
+    standin::{Backend, BackendKnobs, FaultProxy, Store},
+    std::{
+        env, fs, io,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
+        process::Stdio,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Instant,
+    },
+    tokio::process::{Child, Command},
+};
+
+/// Host of the routes.
+pub(crate) const HOST: &str = "orders.example";
+/// First port tried; below the range for outgoing connections.
+const FIRST_PORT: u16 = 11_000;
+/// Ports tried.
+const PORT_COUNT: u16 = 15_000;
+
+/// Size of a run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Shape {
+    pub(crate) instances: usize,
+    pub(crate) servers: usize,
+    pub(crate) seconds: u64,
+}
+
+/// What a caller saw of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Outcome {
+    pub(crate) id: String,
+    pub(crate) is_order: bool,
+    pub(crate) instance: usize,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    /// HTTP status; nothing if the connection ended without an answer.
+    pub(crate) status: Option<u16>,
+    /// Whether a success was this request's own whole answer.
+    pub(crate) is_own: bool,
+}
+
+/// A fault or a change, from its begin to its end.
+#[derive(Clone, Debug)]
+pub(crate) struct Disruption {
+    pub(crate) kind: &'static str,
+    /// Instance or server that it hit; nothing if it hit the store or all.
+    pub(crate) target: Option<usize>,
+    pub(crate) from: Instant,
+    pub(crate) until: Instant,
+}
+
+/// Everything noted during a run.
+#[derive(Debug, Default)]
+pub(crate) struct Notes {
+    pub(crate) outcomes: Vec<Outcome>,
+    pub(crate) disruptions: Vec<Disruption>,
+    /// When a server's leaving was acknowledged by the store.
+    pub(crate) leaving: Vec<(usize, Instant)>,
+}
+
+pub(crate) struct Instance {
+    pub(crate) caller: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) to_store: FaultProxy,
+    settings: PathBuf,
+    log: PathBuf,
+    pub(crate) child: Mutex<Child>,
+}
+
+impl Instance {
+    /// Signals the process, by the id of the child that this soak started.
+    pub(crate) fn signal(&self, signal: libc::c_int) {
+        let child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(id) = child.id() {
+            // SAFETY: `kill` takes no pointers, and the id is that of a child that was not waited for yet.
+            unsafe { libc::kill(id as libc::pid_t, signal) };
+        }
+    }
+
+    /// Starts the process again; the one before has ended.
+    pub(crate) fn start_again(&self) -> io::Result<()> {
+        let child = spawn(&self.settings, &self.log)?;
+        *self.child.lock().unwrap_or_else(PoisonError::into_inner) = child;
+        Ok(())
+    }
+}
+
+pub(crate) struct Server {
+    pub(crate) backend: Backend,
+    pub(crate) proxy: FaultProxy,
+}
+
+/// The system under test.
+pub(crate) struct World {
+    pub(crate) shape: Shape,
+    pub(crate) store: Store,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) folder: PathBuf,
+    notes: Mutex<Notes>,
+}
+
+impl World {
+    pub(crate) async fn new(seed: u64, shape: Shape) -> io::Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let folder =
+            env::temp_dir().join(format!("catkinhitch-soak-{seed}-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let mut world = Self {
+            shape,
+            store: Store::new(any).await?,
+            servers: Vec::new(),
+            instances: Vec::new(),
+            folder,
+            notes: Mutex::default(),
+        };
+        for number in 0..shape.servers {
+            let knobs = BackendKnobs {
+                service_us: 20_000,
+                proves: true,
+                ..BackendKnobs::default()
+            };
+            let name = format!("b{number}");
+            let backend = Backend::new(&name, any, knobs).await?;
+            let proxy = FaultProxy::new(backend.address).await?;
+            world.servers.push(Server { backend, proxy });
+            world.report(number, "ready", 1);
+        }
+        world.configure(1);
+        let addresses: Vec<[SocketAddr; 3]> =
+            (0..shape.instances).map(|_| free_addresses()).collect();
+        let seeds: Vec<String> = addresses.iter().take(3).map(|a| a[1].to_string()).collect();
+        for (number, address) in addresses.iter().enumerate() {
+            let instance = world.start(number, address, &seeds).await?;
+            world.instances.push(instance);
+        }
+        Ok(world)
+    }
+
+    async fn start(
+        &self,
+        number: usize,
+        &[caller, rpc, admin]: &[SocketAddr; 3],
+        seeds: &[String],
+    ) -> io::Result<Instance> {
+        let to_store = FaultProxy::new(self.store.address).await?;
+        let settings = json!({
+            "instance": format!("i{number}"),
+            "data_centre": format!("dc{}", number % 2),
+            "regions": { "dc0": "r", "dc1": "r" },
+            "processor_share": 0.2,
+            "caller_address": caller.to_string(),
+            "rpc_address": rpc.to_string(),
+            "admin_address": admin.to_string(),
+            "platform": "store",
+            "platform_address": to_store.address.to_string(),
+            "seeds": seeds,
+            "principals": [],
+            "drain_ms": 400,
+            "stop_s": 4,
+            "retry_slack": 20,
+        });
+        let file = self.folder.join(format!("i{number}.json"));
+        let log = self.folder.join(format!("i{number}.log"));
+        fs::write(&file, settings.to_string())?;
+        Ok(Instance {
+            caller,
+            admin,
+            to_store,
+            child: Mutex::new(spawn(&file, &log)?),
+            settings: file,
+            log,
+        })
+    }
+
+    pub(crate) fn notes(&self) -> MutexGuard<'_, Notes> {
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a server's own entry; none takes it away.
+    pub(crate) fn report(&self, server: usize, state: &str, sequence: u64) {
+        let entry = json!({
+            "address": self.servers[server].proxy.address.to_string(),
+            "born": 1_700_000_000_000_u64,
+            "info": { "service": "orders", "version": "v1", "zone": format!("dc{}", server % 2), "slots": 4 },
+            "status": { "state": state, "sequence": sequence, "warmup_left_s": 0 },
+        });
+        let id = format!("b{server}");
+        let text = (state != "gone").then(|| entry.to_string());
+        self.store.put("keyed.servers", &id, text.as_deref());
+    }
+
+    /// Writes a configuration whose version shows in one of its routes.
+    pub(crate) fn configure(&self, version: u64) {
+        let route = |prefix: &str, kind: &str| -> Value {
+            json!({
+                "name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_s": 1.2,
+                "target_latency_s": 0.4, "priority": 1, "service": "orders", "max_attempts": 2,
+            })
+        };
+        let document = json!({
+            "version": format!("r{version}"),
+            "routes": [route("/read/", "safe"), route("/order/", "unsafe"), route(&format!("/v{version}/"), "safe")],
+            "services": [{ "name": "orders", "health_path": "/health", "max_connections": 400 }],
+            "limits": { "max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15 },
+        });
+        self.store
+            .put("keyed.op", "config", Some(&document.to_string()));
+    }
+
+    /// How often a request ran, over all servers.
+    pub(crate) fn run_count(&self, id: &str) -> u32 {
+        let runs = self.servers.iter();
+        runs.filter_map(|server| server.backend.runs().get(id).map(|runs| runs.count))
+            .sum()
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
+    let program = env::current_exe()?.with_file_name("catkinhitchd");
+    let out = fs::OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::from(out))
+        .kill_on_drop(true)
+        .spawn()
+}
+
+fn free_addresses() -> [SocketAddr; 3] {
+    let mut found = Vec::new();
+    let mut held = Vec::new();
+    while found.len() < 3 {
+        let port = FIRST_PORT + fastrand::u16(0..PORT_COUNT);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if let Ok(listener) = TcpListener::bind(address) {
+            held.push(listener);
+            found.push(address);
+        }
+    }
+    [found[0], found[1], found[2]]
+}
