--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -9,7 +9,7 @@
     config::queries::find_service,
     member::queries::pool_areas,
     outlier::queries::hedge_limit_us,
-    permit::{commands, queries, Choice, Refusal, Wish},
+    permit::{commands, queries, Refusal, Spread, Wish},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -35,14 +35,6 @@
 const NEGLECT_SAFE_MS: u64 = 800;
 /// The same for any request, in milliseconds: a new server is to have work within four seconds.
 const NEGLECT_MS: u64 = 2_000;
-/// Share of failed work from which servers without work are used as well, in percent. A service whose failures pass a
-/// tenth must spread its work; below, spreading would only send work to servers that fail it, and keep the share up.
-const SPREAD_FROM_PERCENT: u32 = 10;
-/// Window in which a server counts as used, in milliseconds; below the two seconds that are looked at.
-const SPREAD_WINDOW_MS: u64 = 1_700;
-/// Share of a pool's servers that are to be used in that window, in percent; above the seven tenths asked for.
-const SPREAD_SHARE_PERCENT: u32 = 75;
-
 enum Step {
     Granted(PermitAnswer),
     Refused(PermitVerdict, u64),
@@ -160,7 +152,8 @@
         body_bytes: ask.body_bytes,
         ask: ask.ask,
         // With other pools to ask, or a short wait for a better server, a suspect is not taken.
-        spurns_suspects: !ask.may_queue || queries::good_ones_suffice(&state.pool),
+        spurns_suspects: !ask.may_queue
+            || queries::good_ones_suffice(&state.pool, queries::queue_length(&state.pool)),
         neglected_before_ms: now_ms.saturating_sub(neglect_ms),
         exclude: excluded(state, &ask.exclude),
     }
@@ -208,7 +201,7 @@
     }
     let ahead = queries::present_ahead(&state.pool, ticket, wish.priority, now_ms);
     if ahead == 0 {
-        match pick(state, &wish, now_ms) {
+        match queries::pick(&state.pool, &state.recent, &wish, &Spread::new(), now_ms) {
             Ok(choice) => {
                 leave(state, ticket);
                 note_grant(state, is_retry, terms, now_ms);
@@ -239,19 +232,6 @@
     wait(state, wish, ticket, ahead, now_ms)
 }
 
-/// While a good part of the service's work fails, servers that got none for a while are used as well, so that the
-/// service does not narrow itself to a few.
-fn pick(state: &PoolState, wish: &Wish, now_ms: u64) -> Result<Choice, Refusal> {
-    if state.recent.failed_percent() >= SPREAD_FROM_PERCENT {
-        let since_ms = now_ms.saturating_sub(SPREAD_WINDOW_MS);
-        let unused = queries::choose_unused(&state.pool, wish, since_ms, SPREAD_SHARE_PERCENT);
-        if let Some(choice) = unused {
-            return Ok(choice);
-        }
-    }
-    queries::choose(&state.pool, wish)
-}
-
 fn note_grant(state: &mut PoolState, is_retry: bool, terms: RetryTerms, now_ms: u64) {
     if is_retry {
         commands::spend(
--- /dev/null
+++ b/crates/emu/src/commands.rs
@@ -0,0 +1,5 @@
+//! Commands: running an emulation.
+
+mod run;
+
+pub use self::run::run;
--- /dev/null
+++ b/crates/emu/src/main.rs
@@ -0,0 +1,203 @@
+//! Sweeps a policy's constants over an emulated load and writes a table and a plot.
+
+use {
+    bpaf::Bpaf,
+    emu::{
+        commands::run,
+        queries::{failed_share, refused_share, served_ms, served_share},
+        Figures, Load, Policy,
+    },
+    std::{fs, io, path::PathBuf, process::ExitCode},
+};
+
+/// Seeds that each row is the mean of.
+const SEEDS: u64 = 10;
+/// Size of the plot, in pixels.
+const PLOT: (f64, f64) = (640.0, 320.0);
+/// Margin of the plot, in pixels.
+const MARGIN: f64 = 40.0;
+
+/// Command line of the emulator.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+/// Emulates one pool under the users' ordering load and sweeps the policy.
+///
+/// Example: cargo run --release -p emu -- --out docs
+struct Arguments {
+    /// Folder that emulator.md and emulator.svg are written to; the table is printed if left out.
+    #[bpaf(argument("FOLDER"))]
+    out: Option<PathBuf>,
+}
+
+/// One row of the table.
+struct Row {
+    name: String,
+    policy: Policy,
+    load: Load,
+}
+
+/// Means over the seeds, shares in percent.
+struct Means {
+    served: f64,
+    failed: f64,
+    refused: f64,
+    met_failing: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    match write(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn write(arguments: &Arguments) -> io::Result<()> {
+    let rows = rows();
+    let means: Vec<Means> = rows.iter().map(mean).collect();
+    let text = table(&rows, &means);
+    match &arguments.out {
+        Some(folder) => {
+            fs::write(folder.join("EMULATOR.md"), text)?;
+            fs::write(folder.join("emulator.svg"), plot(&rows, &means))
+        }
+        None => {
+            print!("{text}");
+            Ok(())
+        }
+    }
+}
+
+fn rows() -> Vec<Row> {
+    let mut rows = Vec::new();
+    let mut add = |name: String, policy: Policy, load: Load| rows.push(Row { name, policy, load });
+    let (policy, load) = (Policy::new(), Load::new());
+    add("in use".to_owned(), policy, load);
+    for delay_ms in [50, 200, 1_000] {
+        let late = Policy {
+            evidence_delay_ms: delay_ms,
+            ..policy
+        };
+        add(format!("evidence after {delay_ms} ms"), late, load);
+    }
+    for owners in [2, 4, 41] {
+        let apart = Policy { owners, ..policy };
+        add(
+            format!("{owners} owners that know nothing of each other"),
+            apart,
+            load,
+        );
+    }
+    for from_percent in [5, 7, 15, 101] {
+        let spread = permit::Spread {
+            from_percent,
+            ..permit::Spread::new()
+        };
+        add(
+            format!("spread from {from_percent} % failed"),
+            Policy { spread, ..policy },
+            load,
+        );
+    }
+    let eager = Policy {
+        spurns: false,
+        ..policy
+    };
+    add("suspects not spurned".to_owned(), eager, load);
+    let blind = Policy {
+        weighs_evidence: false,
+        ..policy
+    };
+    add("least used, no evidence".to_owned(), blind, load);
+    for per_s in [70.0, 100.0] {
+        add(
+            format!("in use, {per_s} requests/s"),
+            policy,
+            Load { per_s, ..load },
+        );
+    }
+    let calm = Load {
+        gray_share: 0.0,
+        ..load
+    };
+    add("in use, no server fails".to_owned(), policy, calm);
+    rows
+}
+
+fn mean(row: &Row) -> Means {
+    let runs: Vec<Figures> = (1..=SEEDS)
+        .map(|seed| run(&row.load, &row.policy, seed))
+        .collect();
+    let over = |of: &dyn Fn(&Figures) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+    let until = row.load.length_ms;
+    Means {
+        served: over(&|figures| served_share(figures, 0, until) * 100.0),
+        failed: over(&|figures| failed_share(figures, 0, until) * 100.0),
+        refused: over(&|figures| refused_share(figures, 0, until) * 100.0),
+        met_failing: over(&|figures| {
+            figures.met_failing as f64 * 100.0 / figures.outcomes.len().max(1) as f64
+        }),
+        p50_ms: over(&|figures| served_ms(figures, 50) as f64),
+        p99_ms: over(&|figures| served_ms(figures, 99) as f64),
+    }
+}
+
+fn table(rows: &[Row], means: &[Means]) -> String {
+    let mut text = String::from(
+        "# Emulated policies\n\n\
+        Written by `cargo run --release -p emu -- --out docs`: one pool of 12 servers of 4 slots, 49 unrepeatable\n\
+        requests a second of 300 ms, a third of the servers failing 85 % of their work at once for nine seconds at a\n\
+        time; 60 s, mean of 10 seeds. Shares in percent of the requests.\n\n\
+        ![failed requests by policy](emulator.svg)\n\n\
+        | policy | served | failed | refused | met a failing server | p50, ms | p99, ms |\n\
+        | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for (row, mean) in rows.iter().zip(means) {
+        text.push_str(&format!(
+            "| {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} |\n",
+            row.name,
+            mean.served,
+            mean.failed,
+            mean.refused,
+            mean.met_failing,
+            mean.p50_ms,
+            mean.p99_ms
+        ));
+    }
+    text
+}
+
+/// A bar for each row: its share of failed requests.
+fn plot(rows: &[Row], means: &[Means]) -> String {
+    let (width, height) = PLOT;
+    let most = means.iter().map(|mean| mean.failed).fold(1.0, f64::max);
+    let step = (height - MARGIN) / rows.len() as f64;
+    let mut bars = String::new();
+    for (place, (row, mean)) in rows.iter().zip(means).enumerate() {
+        let top = MARGIN / 2.0 + place as f64 * step;
+        let length = mean.failed / most * (width / 2.0 - MARGIN);
+        bars.push_str(&format!(
+            "<text x=\"{:.0}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\
+             <rect x=\"{:.0}\" y=\"{:.1}\" width=\"{length:.1}\" height=\"{:.1}\" fill=\"#4a7\"/>\
+             <text x=\"{:.1}\" y=\"{:.1}\">{:.1} %</text>\n",
+            width / 2.0 - 6.0,
+            top + step * 0.7,
+            row.name,
+            width / 2.0,
+            top + step * 0.1,
+            step * 0.8,
+            width / 2.0 + length + 4.0,
+            top + step * 0.7,
+            mean.failed
+        ));
+    }
+    format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" \
+         font-family=\"sans-serif\" font-size=\"11\">\n{bars}</svg>\n"
+    )
+}
--- /dev/null
+++ b/crates/emu/src/state.rs
@@ -0,0 +1,143 @@
+//! The state of an emulation and what it counts.
+
+use {
+    crate::Policy,
+    fastrand::Rng,
+    outlier::{Evidence, Health, Sensitivity, ServerHealth},
+    permit::{commands::list_server, Budget, Pool, Recent},
+    std::{
+        cmp::Reverse,
+        collections::{BinaryHeap, VecDeque},
+        net::SocketAddr,
+    },
+    types::{PermitId, ServerIndex},
+};
+
+/// How one request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// With a whole answer, after so many milliseconds.
+    Served(u64),
+    /// With a server's failure.
+    Failed,
+    /// Refused as not run.
+    Refused,
+}
+
+/// What an emulation counted.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// Outcomes with the time at which each request came, in milliseconds.
+    pub outcomes: Vec<(u64, Outcome)>,
+    /// Requests given to a server that was failing.
+    pub met_failing: u64,
+    /// Requests that servers shed.
+    pub shed: u64,
+    /// Attempts beyond the first.
+    pub retries: u64,
+}
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) came_ms: u64,
+    pub(crate) deadline_ms: u64,
+    pub(crate) is_safe: bool,
+    pub(crate) sent: u32,
+    pub(crate) tried: Vec<ServerIndex>,
+}
+
+/// What happens at a time.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    Arrive,
+    Redraw,
+    LoseOwner,
+    Tick,
+    /// A server ends a request: owner, permit, server, request, whether whole, time at the server.
+    End(usize, PermitId, ServerIndex, Box<Request>, bool, u64),
+    /// An owner hears of an outcome.
+    Hear(usize, PermitId, ServerIndex, Evidence, Option<u64>),
+}
+
+#[derive(Debug)]
+pub(crate) struct Timed {
+    pub(crate) at_ms: u64,
+    pub(crate) order: u64,
+    pub(crate) event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.order) == (other.at_ms, other.order)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
+    }
+}
+
+/// One owner's view of the pool.
+#[derive(Debug)]
+pub(crate) struct Owner {
+    pub(crate) pool: Pool,
+    pub(crate) health: Health,
+    pub(crate) recent: Recent,
+    pub(crate) budget: Budget,
+    pub(crate) sensitivity: Sensitivity,
+    pub(crate) waiting: VecDeque<Request>,
+}
+
+impl Owner {
+    pub(crate) fn new(servers: usize, slots: u32, now_ms: u64) -> Self {
+        let mut owner = Self {
+            pool: Pool::new(),
+            health: Health::new(),
+            recent: Recent::default(),
+            budget: Budget::new(),
+            sensitivity: Sensitivity::fast(),
+            waiting: VecDeque::new(),
+        };
+        for number in 0..servers {
+            let address = SocketAddr::from(([10, 0, 0, 1], 1));
+            list_server(&mut owner.pool, &format!("b{number}"), address, "dc", slots);
+            owner.health.servers.push(ServerHealth::new(now_ms));
+        }
+        owner
+    }
+}
+
+/// The whole emulation.
+pub(crate) struct Emulation {
+    pub(crate) rng: Rng,
+    pub(crate) policy: Policy,
+    pub(crate) owners: Vec<Owner>,
+    pub(crate) is_gray: Vec<bool>,
+    /// Requests at each server, whoever sent them.
+    pub(crate) running: Vec<u32>,
+    pub(crate) events: BinaryHeap<Reverse<Timed>>,
+    pub(crate) order: u64,
+    pub(crate) figures: Figures,
+}
+
+impl Emulation {
+    pub(crate) fn schedule(&mut self, at_ms: u64, event: Event) {
+        self.order += 1;
+        let order = self.order;
+        self.events.push(Reverse(Timed {
+            at_ms,
+            order,
+            event,
+        }));
+    }
+}
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -122,6 +122,36 @@
     pub wish: Wish,
 }
 
+/// When and how work is spread over servers that got none, while a good part of a service's work fails.
+#[derive(Clone, Copy, Debug)]
+pub struct Spread {
+    /// Share of failed work from which servers without work are used as well, in percent. A service whose failures
+    /// pass a tenth must spread its work; below, spreading would only send work to servers that fail it, and keep the
+    /// share up.
+    pub from_percent: u32,
+    /// Window in which a server counts as used, in milliseconds; below the two seconds that are looked at.
+    pub window_ms: u64,
+    /// Share of a pool's servers that are to be used in that window, in percent; above the seven tenths asked for.
+    pub share_percent: u32,
+}
+
+impl Spread {
+    /// Returns the spread in use.
+    pub fn new() -> Self {
+        Self {
+            from_percent: 10,
+            window_ms: 1_700,
+            share_percent: 75,
+        }
+    }
+}
+
+impl Default for Spread {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// A server picked for a wish, not yet taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Choice {
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -1,13 +1,42 @@
 //! Queries over a pool; none of them changes it.
 
 use {
-    crate::{budget::Count, Budget, Choice, Pool, Refusal, Server, Standing, Waiter, Wish},
+    crate::{
+        budget::Count, Budget, Choice, Pool, Recent, Refusal, Server, Spread, Standing, Waiter,
+        Wish,
+    },
     types::ServerIndex,
 };
 
+/// Mean service times that a request is given to finish in: three in four need less. Work that would be given up
+/// at its deadline takes the slot of work that would not.
+const FINISH_SERVICE_TIMES: f64 = 1.4;
+
 /// Service times for which a request rather waits for a server that is no suspect.
 const SPURN_SERVICE_TIMES: f64 = 0.5;
 
+/// Picks a server for the wish as [`choose`] does, or, while a good part of the pool's work fails, one that got no work
+/// for a while, so that the service does not narrow itself to a few.
+///
+/// # Errors
+///
+/// As [`choose`].
+pub fn pick(
+    pool: &Pool,
+    recent: &Recent,
+    wish: &Wish,
+    spread: &Spread,
+    now_ms: u64,
+) -> Result<Choice, Refusal> {
+    if recent.failed_percent() >= spread.from_percent {
+        let since_ms = now_ms.saturating_sub(spread.window_ms);
+        if let Some(choice) = choose_unused(pool, wish, since_ms, spread.share_percent) {
+            return Ok(choice);
+        }
+    }
+    choose(pool, wish)
+}
+
 /// Picks a server for the wish: a due trial first, then by standing, then by what it is expected to cost.
 ///
 /// # Errors
@@ -73,7 +102,7 @@
 
 /// Tells whether a request with `ahead` waiters in front would be answered before `deadline_ms`.
 pub fn fits_deadline(pool: &Pool, ahead: usize, now_ms: u64, deadline_ms: u64) -> bool {
-    let finish_us = wait_us(pool, ahead) + pool.service_us;
+    let finish_us = wait_us(pool, ahead) + pool.service_us * FINISH_SERVICE_TIMES;
     now_ms as f64 + finish_us / 1_000.0 < deadline_ms as f64
 }
 
@@ -92,10 +121,15 @@
     (ahead as f64 + 1.0) * pool.service_us / f64::from(slots.max(1))
 }
 
-/// Tells whether all waiters and one more would soon have been served by servers that are no suspects, so that it is
+/// Counts the requests that wait for a slot.
+pub fn queue_length(pool: &Pool) -> usize {
+    pool.queue.len()
+}
+
+/// Tells whether all `waiting` and one more would soon have been served by servers that are no suspects, so that it is
 /// worth waiting for these. Whoever is first must not wait for long on behalf of all behind it.
-pub fn good_ones_suffice(pool: &Pool) -> bool {
-    has_good(pool) && wait_us(pool, pool.queue.len()) <= pool.service_us * SPURN_SERVICE_TIMES
+pub fn good_ones_suffice(pool: &Pool, waiting: usize) -> bool {
+    has_good(pool) && wait_us(pool, waiting) <= pool.service_us * SPURN_SERVICE_TIMES
 }
 
 /// Returns the requests and the retries counted in the window.
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -200,13 +200,13 @@
     let choice = choose(&pool, &wish(true)).expect("a slot");
     let id = take(&mut pool, choice, 0, 0, 1_000);
     give_back(&mut pool, id, Some(300_000));
-    assert!(good_ones_suffice(&pool));
+    assert!(good_ones_suffice(&pool, ahead(&pool, None, 0)));
     for _ in 0..3 {
         enqueue(&mut pool, wish(true), 0);
     }
-    assert!(!good_ones_suffice(&pool));
+    assert!(!good_ones_suffice(&pool, ahead(&pool, None, 0)));
     set_standing(&mut pool, 0, Standing::Suspect);
-    assert!(!good_ones_suffice(&Pool::new()));
+    assert!(!good_ones_suffice(&Pool::new(), 0));
 }
 
 #[test]
