Tell at once that the platform can't be read, and compare lists before sending them whole

Change: reads wait 0.4 s and fail after one; who fails says so at once; relays of other data centres are asked too, and an owner of pools does not wait with old news; lists are compared by digest; a starting instance asks others for 0.7 s first. Refusals and servers that can't be reached count as failed work of late.

--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -76,7 +76,7 @@
 fn hooks(node: &Arc<Node>) -> Hooks {
     let share = || Arc::clone(node);
     let (sync, skipped, version, published) = (share(), share(), share(), share());
-    let (adopted, answer, list) = (share(), share(), share());
+    let (adopted, answer, owner, list) = (share(), share(), share(), share());
     Hooks {
         sync: Box::new(move |peer, ask, limit_ms| {
             let node = Arc::clone(&sync);
@@ -95,6 +95,7 @@
             let known_answer = queries::config_answer(&answer, known);
             (known_answer.version > known).then_some(known_answer)
         }),
+        owns_pools: Box::new(move || !owner.owner.is_empty()),
         publish: Box::new(move |view| list.view.store(view)),
     }
 }
--- a/crates/daemon/src/commands/pool_return.rs
+++ b/crates/daemon/src/commands/pool_return.rs
@@ -69,11 +69,10 @@
 fn note_recent(state: &mut PoolState, evidence: EvidenceText, now_ms: u64) {
     match evidence {
         EvidenceText::Whole => state.recent.note(false, now_ms),
-        EvidenceText::Failed | EvidenceText::Overdue => state.recent.note(true, now_ms),
-        EvidenceText::Shed
-        | EvidenceText::Unreachable
-        | EvidenceText::Misdirected
-        | EvidenceText::Nothing => {}
+        EvidenceText::Failed | EvidenceText::Overdue | EvidenceText::Unreachable => {
+            state.recent.note(true, now_ms);
+        }
+        EvidenceText::Shed | EvidenceText::Misdirected | EvidenceText::Nothing => {}
     }
 }
 
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -224,6 +224,7 @@
     let ahead = queries::ahead(&state.pool, ticket, wish.priority);
     if !queries::fits_deadline(&state.pool, ahead, now_ms, wish.deadline_ms) {
         leave(state, ticket);
+        state.recent.note(true, now_ms);
         let drain_ms = (queries::wait_us(&state.pool, ahead) / 1_000.0) as u64;
         // Spread, so that those who were refused together do not come back together.
         let retry_after_ms = drain_ms / 2 + fastrand::u64(0..=drain_ms.max(1));
--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -34,6 +34,7 @@
 fn publish(feed: &Feed) {
     let view = feed.lists.with(0, |lists| {
         lists.view = Arc::new(queries::view(lists));
+        lists.digest = member::queries::digest(&lists.roster);
         Arc::clone(&lists.view)
     });
     (feed.hooks.publish)(view);
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -1,7 +1,11 @@
 //! Hears of changes from other instances, and decides whether this one reads the platform.
 
 use {
-    crate::{commands::apply, queries, Feed},
+    crate::{
+        commands::apply,
+        queries::{self, STALE_MS},
+        Feed,
+    },
     futures_util::stream::{FuturesUnordered, StreamExt},
     log::info,
     member::{
@@ -24,17 +28,18 @@
 const SILENT_FIRST_MS: u64 = 1_500;
 /// Longest time for which it is not asked, in milliseconds.
 const SILENT_MAX_MS: u64 = 12_000;
-/// Age from which another instance's list is no news, in milliseconds.
-const STALE_MS: u64 = 2_500;
 /// Age up to which the list of an instance that answers is waited with, in milliseconds: while the platform is away
 /// for everybody, reads by everybody would only be paid for.
 const PATIENCE_MS: u64 = 5_000;
 /// Least time for which an instance reads the platform once it began, in milliseconds.
-const READS_HOLD_MS: u64 = 4_000;
+const READS_HOLD_MS: u64 = 3_000;
 /// Time between looks at who reads, for an instance that does, in milliseconds.
 const ROOT_LOOK_MS: u64 = 400;
 /// Pause after nobody gave news, in milliseconds; jitter up to as much again is added.
 const LONELY_PAUSE_MS: u64 = 300;
+/// Time after the start in which a new instance goes on asking others before it reads the platform itself, in
+/// milliseconds; when all start together, whoever is first must read before it can tell.
+const START_PATIENCE_MS: u64 = 700;
 /// Time after the start in which others announce themselves, in milliseconds, before the lists are read.
 const START_SPREAD_MS: u64 = 60;
 
@@ -56,13 +61,19 @@
             sleep(Duration::from_millis(ROOT_LOOK_MS)).await;
             continue;
         }
-        // Those to whom others turn do not wait for whoever is first.
-        let least = if feeds_others(&view, &feed.own.name) {
+        // Those to whom others turn, for news or for slots, do not wait for whoever is first.
+        let must_know = feeds_others(&view, &feed.own.name) || (feed.hooks.owns_pools)();
+        let least = if must_know {
             News::Fresh
         } else {
             News::Waiting
         };
         let news = pull_any(&feed, &candidates(&feed, &view, preferred)).await;
+        let is_starting = !queries::is_complete(&feed) && feed.now_ms() < START_PATIENCE_MS;
+        if news < least && is_starting {
+            sleep(Duration::from_millis(START_SPREAD_MS)).await;
+            continue;
+        }
         if news < least {
             set_reads(&feed, true, "no other gives news");
         } else if !is_root {
@@ -147,13 +158,15 @@
 
 async fn pull_one(feed: &Feed, peer: &Instance) -> News {
     let known_version = (feed.hooks.config_version)();
-    let (known_feed, known_list) = feed.lists.with(0, |lists| lists.taken_from);
+    let ((known_feed, known_list), list_digest) =
+        feed.lists.with(0, |lists| (lists.taken_from, lists.digest));
     let ask = SyncAsk {
         known_version,
         feed: known_feed,
         known_list,
         wait_ms: SYNC_WAIT_MS,
         own: instance_text(&feed.announced()),
+        list_digest,
     };
     let limit_ms = SYNC_WAIT_MS + SYNC_MARGIN_MS;
     let Some(answer) = (feed.hooks.sync)(peer.clone(), ask, limit_ms).await else {
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -9,8 +9,11 @@
     tokio::{sync::watch, time::sleep},
 };
 
-/// How long a read waits for a change, in milliseconds; bounds how long a connection that went silent is trusted.
-const READ_WAIT_MS: u64 = 1_500;
+/// How long a read of the configuration or the servers waits for a change, in milliseconds; bounds how long a store
+/// that went silent is trusted, since a change must be in force everywhere two seconds later.
+const READ_WAIT_MS: u64 = 400;
+/// How long a read of the instances waits for a change, in milliseconds.
+const INSTANCE_WAIT_MS: u64 = 1_500;
 /// Least time between reads of the configuration, in milliseconds; configurations may come in quick succession.
 const CONFIG_PACE_MS: u64 = 100;
 /// Least time between reads of the servers, in milliseconds: their own reports come all the time, and a server
@@ -23,45 +26,56 @@
 /// Longest pause after a read that failed, in milliseconds; refused calls are paid for as well.
 const AWAY_MAX_MS: u64 = 1_600;
 
+/// One of the platform's lists and how it is read.
+#[derive(Clone, Copy, Debug)]
+struct Listing {
+    name: &'static str,
+    /// How long a read waits for a change, in milliseconds.
+    wait_ms: u64,
+    /// Least time between reads, in milliseconds.
+    pace_ms: u64,
+    /// Whether others must hear at once that it can't be read.
+    is_urgent: bool,
+}
+
 /// Follows the configuration.
 pub async fn read_configuration(feed: Arc<Feed>) {
+    let listing = Listing {
+        name: "configuration",
+        wait_ms: READ_WAIT_MS,
+        pace_ms: CONFIG_PACE_MS,
+        is_urgent: true,
+    };
     let take = |reading: &Reading<_>| apply::configuration(&feed, reading);
-    read_list(
-        &feed,
-        "configuration",
-        &feed.source.configuration,
-        CONFIG_PACE_MS,
-        take,
-    )
-    .await;
+    read_list(&feed, listing, &feed.source.configuration, take).await;
 }
 
 /// Follows the servers.
 pub async fn read_servers(feed: Arc<Feed>) {
+    let listing = Listing {
+        name: "servers",
+        wait_ms: READ_WAIT_MS,
+        pace_ms: SERVER_PACE_MS,
+        is_urgent: true,
+    };
     let take = |reading: &Reading<_>| apply::servers(&feed, reading);
-    read_list(&feed, "servers", &feed.source.servers, SERVER_PACE_MS, take).await;
+    read_list(&feed, listing, &feed.source.servers, take).await;
 }
 
 /// Follows the instances.
 pub async fn read_instances(feed: Arc<Feed>) {
+    let listing = Listing {
+        name: "instances",
+        wait_ms: INSTANCE_WAIT_MS,
+        pace_ms: INSTANCE_PACE_MS,
+        is_urgent: false,
+    };
     let take = |reading: &Reading<_>| apply::instances(&feed, reading);
-    read_list(
-        &feed,
-        "instances",
-        &feed.source.instances,
-        INSTANCE_PACE_MS,
-        take,
-    )
-    .await;
+    read_list(&feed, listing, &feed.source.instances, take).await;
 }
 
-async fn read_list<Value, Take>(
-    feed: &Feed,
-    what: &str,
-    read: &Read<Value>,
-    pace_ms: u64,
-    take: Take,
-) where
+async fn read_list<Value, Take>(feed: &Feed, listing: Listing, read: &Read<Value>, take: Take)
+where
     Take: Fn(&Reading<Value>),
 {
     let mut reads = feed.reads.subscribe();
@@ -69,16 +83,17 @@
         if reads.wait_for(|reads| *reads).await.is_err() {
             return;
         }
-        read_while(&reads, what, read, pace_ms, &take).await;
+        read_while(feed, &reads, listing, read, &take).await;
+        set_failing(feed, listing, false);
     }
 }
 
 /// Reads the whole list and then its changes, until this instance no longer reads.
 async fn read_while<Value, Take>(
+    feed: &Feed,
     reads: &watch::Receiver<bool>,
-    what: &str,
+    listing: Listing,
     read: &Read<Value>,
-    pace_ms: u64,
     take: &Take,
 ) where
     Take: Fn(&Reading<Value>),
@@ -88,25 +103,27 @@
     while *reads.borrow() {
         let cursor = Cursor {
             from,
-            wait_ms: READ_WAIT_MS,
+            wait_ms: listing.wait_ms,
         };
         match read(cursor).await {
             Ok(reading) => {
                 if failures > 0 {
-                    dependency(what, "regained", failures);
+                    dependency(listing.name, "regained", failures);
                 }
                 from = Some(reading.next);
                 take(&reading);
+                set_failing(feed, listing, false);
                 failures = 0;
-                sleep(Duration::from_millis(pace_ms)).await;
+                sleep(Duration::from_millis(listing.pace_ms)).await;
             }
             // Its history is gone: the whole list is read next.
             Err(ReadError::Trimmed { .. }) if from.is_some() => from = None,
             Err(error) => {
                 if failures == 0 {
-                    warn!("reading the {what}: {error}");
-                    dependency(what, "lost", 0);
+                    warn!("reading the {}: {error}", listing.name);
+                    dependency(listing.name, "lost", 0);
                 }
+                set_failing(feed, listing, true);
                 failures += 1;
                 let pause_ms = (AWAY_FIRST_MS << failures.min(5)).min(AWAY_MAX_MS);
                 let jittered_ms = pause_ms / 2 + fastrand::u64(0..=pause_ms / 2);
@@ -116,6 +133,24 @@
     }
 }
 
+/// Notes whether a list can be read; others that wait here for news are told when it can't.
+fn set_failing(feed: &Feed, listing: Listing, fails: bool) {
+    if !listing.is_urgent {
+        return;
+    }
+    let is_new = feed.lists.with(0, |lists| {
+        if fails {
+            lists.failing.insert(listing.name)
+        } else {
+            lists.failing.remove(listing.name);
+            false
+        }
+    });
+    if is_new {
+        feed.changed.send_modify(|count| *count += 1);
+    }
+}
+
 fn dependency(what: &str, change: &str, failures: u32) {
     let line =
         json!({ "dependency": format!("platform {what}"), "change": change, "failures": failures });
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -11,6 +11,8 @@
     },
 };
 
+/// Age from which another instance's list is no news, in milliseconds.
+pub(crate) const STALE_MS: u64 = 2_500;
 /// Age given for a list that was never whole, in milliseconds; a day.
 pub(crate) const NEVER_WHOLE_MS: u64 = 86_400_000;
 
@@ -27,23 +29,20 @@
 /// Returns the time since both the list of servers and the configuration were heard of the platform, in milliseconds.
 pub fn source_age_ms(feed: &Feed) -> u64 {
     let now_ms = feed.now_ms();
-    let as_of_ms = feed.lists.with(0, |lists| {
-        let list_ms = lists.as_of_ms?;
-        lists
-            .config_as_of_ms
-            .map(|config_ms| config_ms.min(list_ms))
+    let (as_of_ms, is_failing) = feed.lists.with(0, |lists| {
+        let both = lists.as_of_ms.zip(lists.config_as_of_ms);
+        let as_of_ms = both.map(|(list_ms, config_ms)| list_ms.min(config_ms));
+        (as_of_ms, !lists.failing.is_empty())
     });
-    as_of_ms.map_or(NEVER_WHOLE_MS, |as_of_ms| now_ms.saturating_sub(as_of_ms))
+    let age_ms = as_of_ms.map_or(NEVER_WHOLE_MS, |as_of_ms| now_ms.saturating_sub(as_of_ms));
+    // Whoever fails to read says so at once, so that others need not wait until its news are old.
+    age_ms.max(if is_failing { STALE_MS } else { 0 })
 }
 
 /// Tells another instance what changed, as soon as something has or the time that it gives has passed.
 pub async fn sync_answer(feed: &Feed, ask: &SyncAsk) -> SyncAnswer {
     let mut changed = feed.changed.subscribe();
-    let known_list = if ask.feed == feed.id {
-        ask.known_list
-    } else {
-        0
-    };
+    let known_list = known_list(feed, ask);
     let wait = async {
         while !has_news(feed, ask.known_version, known_list) {
             if changed.changed().await.is_err() {
@@ -63,9 +62,24 @@
     }
 }
 
+/// The version of this feed's list that the asker has: the one it took, or the present one if its list is the same.
+fn known_list(feed: &Feed, ask: &SyncAsk) -> u64 {
+    if ask.feed == feed.id {
+        return ask.known_list;
+    }
+    feed.lists.with(0, |lists| {
+        if ask.list_digest == lists.digest {
+            roster_queries::list_version(&lists.roster)
+        } else {
+            0
+        }
+    })
+}
+
 fn has_news(feed: &Feed, known_version: u64, known_list: u64) -> bool {
     let list_version = feed
         .lists
         .with(0, |lists| roster_queries::list_version(&lists.roster));
-    list_version != known_list || (feed.hooks.config_version)() > known_version
+    let is_failing = feed.lists.with(0, |lists| !lists.failing.is_empty());
+    is_failing || list_version != known_list || (feed.hooks.config_version)() > known_version
 }
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -4,7 +4,7 @@
     futures_util::future::BoxFuture,
     member::{Instance, Presence, Roster, View},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{
             atomic::{AtomicBool, Ordering},
@@ -36,6 +36,8 @@
     pub adopt: Box<dyn Fn(&ConfigAnswer) + Send + Sync>,
     /// Returns the configuration in force if it is newer than a version.
     pub config_answer: Box<dyn Fn(u64) -> Option<ConfigAnswer> + Send + Sync>,
+    /// Tells whether this instance owns pools, so that a server's leaving must reach it in time.
+    pub owns_pools: Box<dyn Fn() -> bool + Send + Sync>,
     /// Takes the list of servers and instances whenever it changed.
     pub publish: Box<dyn Fn(Arc<View>) + Send + Sync>,
 }
@@ -46,6 +48,8 @@
     pub(crate) roster: Roster,
     /// The roster, indexed; made anew with each change.
     pub(crate) view: Arc<View>,
+    /// Digest of the roster; made anew with each change.
+    pub(crate) digest: u64,
     /// Failures in a row of instances that gave no answer, and until when each is not asked, in milliseconds.
     pub(crate) silent: HashMap<String, (u32, u64)>,
     /// As of when the list of servers is known, in milliseconds of the feed's clock; none before the first whole
@@ -53,6 +57,8 @@
     pub(crate) as_of_ms: Option<u64>,
     /// As of when the configuration is known, in milliseconds of the feed's clock; none before it was heard of.
     pub(crate) config_as_of_ms: Option<u64>,
+    /// Lists whose last reading failed while this instance reads the platform.
+    pub(crate) failing: HashSet<&'static str>,
     /// Until when this instance goes on reading the platform, in milliseconds of the feed's clock.
     pub(crate) reads_until_ms: u64,
     /// The process that the list was taken from last, and the version of its list.
--- a/crates/member/src/queries.rs
+++ b/crates/member/src/queries.rs
@@ -4,7 +4,7 @@
 mod view;
 
 pub use self::{
-    roster::{delta, is_settled, list_version, view},
+    roster::{delta, digest, is_settled, list_version, view},
     view::{
         feeds, feeds_others, find_instance, is_skipped, live_instances, owner_order, pool_areas,
         pool_servers, task_order, task_owner,
--- a/crates/member/src/queries/roster.rs
+++ b/crates/member/src/queries/roster.rs
@@ -1,6 +1,9 @@
 //! Queries over the roster.
 
-use crate::{Delta, Roster, View};
+use {
+    crate::{Delta, Roster, View},
+    types::hash_of,
+};
 
 /// Returns the version of the roster.
 pub fn list_version(roster: &Roster) -> u64 {
@@ -43,6 +46,39 @@
     }
 }
 
+/// Returns a digest of what the roster lists, the same in all processes that list the same; counts of reports that
+/// change nothing else are left out.
+pub fn digest(roster: &Roster) -> u64 {
+    let servers = roster.servers.values().map(|known| {
+        let server = &known.value;
+        let place = (
+            &server.name,
+            &server.service,
+            &server.data_centre,
+            &server.region,
+        );
+        let rest = (
+            server.address,
+            server.slots,
+            server.presence,
+            server.born_ms,
+        );
+        hash_of(&(place, rest, server.cold_ms == 0))
+    });
+    let instances = roster.instances.values().map(|known| {
+        let instance = &known.value;
+        let place = (&instance.name, &instance.data_centre, &instance.region);
+        let rest = (
+            instance.rpc_address,
+            instance.presence,
+            instance.incarnation,
+        );
+        hash_of(&(place, rest, instance.capacity_permille))
+    });
+    // Order does not matter, and a list without entries is told from none.
+    servers.chain(instances).fold(1, |sum, hash| sum ^ hash)
+}
+
 /// Indexes the roster; entries stand in order of their names, so that all instances see the same order.
 pub fn view(roster: &Roster) -> View {
     let mut servers: Vec<_> = roster
--- a/crates/member/src/queries/view.rs
+++ b/crates/member/src/queries/view.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{BackendServer, Contacts, Instance, Presence, View},
-    std::{cmp::Reverse, hash::Hasher},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeSet, HashSet},
+        hash::Hasher,
+    },
     twox_hash::XxHash64,
 };
 
@@ -14,6 +18,8 @@
 const FEED_ROOTS: usize = 2;
 /// Live instances from which on one of each data centre passes changes on; below, two can serve all the others.
 const RELAY_FLEET: usize = 64;
+/// Relays of other data centres that an instance turns to when nearer ones have no news.
+const OTHER_RELAYS: usize = 4;
 
 /// Tells whether `peer` is to be skipped at `now_ms`.
 pub fn is_skipped(contacts: &Contacts, peer: &str, now_ms: u64) -> bool {
@@ -53,10 +59,33 @@
         return Vec::new();
     }
     feeds.retain(|instance| instance.name != own);
-    if let Some(relay) = relay(view, own) {
-        feeds.insert(0, relay);
+    if live_instances(view).count() < RELAY_FLEET {
+        return feeds;
     }
-    feeds
+    let relay = relay(view, own);
+    let others = other_relays(view, own);
+    let mut chain: Vec<&Instance> = relay.into_iter().chain(feeds).chain(others).collect();
+    let mut seen = HashSet::new();
+    chain.retain(|instance| instance.name != own && seen.insert(instance.name.as_str()));
+    chain
+}
+
+/// Returns those who pass changes on in other data centres, a few of them: whoever still reads is among them when a
+/// data centre has lost its own and both that read first.
+fn other_relays<'a>(view: &'a View, own: &str) -> Vec<&'a Instance> {
+    let own_data_centre = find_instance(view, own).map(|instance| instance.data_centre.as_str());
+    let names: BTreeSet<&str> = live_instances(view)
+        .map(|instance| instance.data_centre.as_str())
+        .filter(|name| Some(*name) != own_data_centre)
+        .collect();
+    let firsts = names.into_iter().filter_map(|data_centre| {
+        let order = owner_order(view, FEED_TASK, data_centre);
+        order.into_iter().next()
+    });
+    let mut relays: Vec<&Instance> = firsts.collect();
+    relays.sort_by_cached_key(|instance| Reverse(weight(instance, FEED_TASK, own)));
+    relays.truncate(OTHER_RELAYS);
+    relays
 }
 
 /// Tells whether others turn to `own` for what changed: then it does not wait for long with old news itself.
@@ -67,12 +96,8 @@
     is_root || (is_large && relay(view, own).is_none())
 }
 
-/// Returns the instance that passes changes on within the data centre of `own`, if the fleet is large and it is
-/// another one.
+/// Returns the instance that passes changes on within the data centre of `own`, if it is another one.
 fn relay<'a>(view: &'a View, own: &str) -> Option<&'a Instance> {
-    if live_instances(view).count() < RELAY_FLEET {
-        return None;
-    }
     let data_centre = &find_instance(view, own)?.data_centre;
     let first = owner_order(view, FEED_TASK, data_centre).into_iter().next();
     first.filter(|instance| instance.name != own)
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -12,7 +12,7 @@
 const REGION_POOL_SERVERS: usize = 24;
 
 /// Whether the platform lists a machine as live or leaving.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Presence {
     /// Takes work.
     Live,
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -139,7 +139,7 @@
     /// Returns the spread in use.
     pub fn new() -> Self {
         Self {
-            from_percent: 10,
+            from_percent: 9,
             window_ms: 1_700,
             share_percent: 75,
         }
