--- a/crates/daemon/src/commands/start.rs
+++ b/crates/daemon/src/commands/start.rs
@@ -29,6 +29,9 @@
     },
 };
 
+/// Time kept between the end of the last exchanges and the longest time that a stop may take, in milliseconds; a slow
+/// instance needs it to end.
+const STOP_MARGIN_MS: u64 = 300;
 /// Time left for permits and releases to go out after the last answer, in milliseconds.
 const FAREWELL_MS: u64 = 200;
 /// Exit status for settings that can't be used.
@@ -192,7 +195,7 @@
         callers_at,
         Arc::new(assemble::callers(&node, path)),
         reaches(stage.clone(), Stage::Finishing),
-        finish_ms.saturating_sub(FAREWELL_MS),
+        finish_ms.saturating_sub(FAREWELL_MS + STOP_MARGIN_MS),
     ));
     // Operators are served to the end, so the task is not waited for.
     tokio::spawn(serve_operators(
@@ -223,11 +226,15 @@
     pub async fn stop(self) {
         log_event("stop");
         self.node.advance(Stage::Leaving);
-        if let Some(feed) = self.node.feed.get() {
-            hand_over::tell_successors(&self.node).await;
-            feed::commands::withdraw(feed).await;
-        }
-        sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
+        // Others are told while callers still come, so that neither delays the end.
+        let telling = async {
+            if let Some(feed) = self.node.feed.get() {
+                hand_over::tell_successors(&self.node).await;
+                feed::commands::withdraw(feed).await;
+            }
+        };
+        let draining = sleep(Duration::from_millis(self.node.settings.drain_ms));
+        tokio::join!(telling, draining);
         self.node.advance(Stage::Finishing);
         self.stop.send_replace(Stage::Finishing);
         // Only a panic of the task is an error here, and there is nothing left to do about it.
