Let those to whom others turn read the platform as soon as news are a second old

With the store turning the first reader away, the covering instance took the news of a random other for fresh; those grew old together, and nobody read for 2.5 s.

Change: whoever feeds others or owns pools takes nothing older than 1.2 s for fresh.

--- a/crates/bench/src/example.rs
+++ b/crates/bench/src/example.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::fleet::free_address,
+    config::Kind,
     daemon::{Principal, Settings},
     standin::{Backend, BackendKnobs, Platform},
     std::{io, net::SocketAddr, process::ExitCode, time::Duration},
@@ -9,8 +10,8 @@
     wire::{
         convert,
         generated::{
-            ConfigKind, ConfigRecord, DetectionText, DocumentText, KindText, ListedInstance,
-            ListedServer, MemberList, PresenceText, RouteText, ServiceText,
+            ConfigKind, ConfigRecord, DetectionText, DocumentText, ListedInstance, ListedServer,
+            MemberList, PresenceText, ServiceText,
         },
         to_text,
     },
@@ -132,25 +133,14 @@
         max_body_bytes: 200 << 20,
         hold_bytes: 256 << 10,
     };
-    let route = |prefix: &str, methods: &[&str], service: &str, kind| RouteText {
-        prefix: prefix.to_owned(),
-        methods: methods.iter().map(|&method| method.to_owned()).collect(),
-        service: Some(service.to_owned()),
-        kind,
-        host: None,
-        split: Vec::new(),
-        timeout_ms: None,
-        target_ms: None,
-        priority: None,
-        attempts_max: None,
-    };
+    let route = convert::plain_route;
     DocumentText {
         limits: None,
         services: vec![service("designs"), service("deposits")],
         routes: vec![
-            route("/designs", &[], "designs", KindText::Safe),
-            route("/deposits", &["GET"], "deposits", KindText::Safe),
-            route("/deposits", &["POST"], "deposits", KindText::Unsafe),
+            route("/designs", &[], "designs", Kind::Safe),
+            route("/deposits", &["GET"], "deposits", Kind::Safe),
+            route("/deposits", &["POST"], "deposits", Kind::Unsafe),
         ],
     }
 }
--- a/crates/bench/src/shape.rs
+++ b/crates/bench/src/shape.rs
@@ -1,8 +1,12 @@
 //! The shape of a system under test: data centres, services and their backend servers.
 
 use {
+    config::Kind,
     standin::BackendKnobs,
-    wire::generated::{DetectionText, DocumentText, KindText, RouteText, ServiceText},
+    wire::{
+        convert,
+        generated::{DetectionText, DocumentText, ServiceText},
+    },
 };
 
 /// One service of the system under test.
@@ -108,21 +112,12 @@
     /// The configuration document of the system.
     pub(crate) fn document(&self) -> DocumentText {
         let routes = self.services.iter().flat_map(|service| {
-            let route = |methods: &[&str], kind| RouteText {
-                prefix: format!("/{}", service.name),
-                methods: methods.iter().map(|&method| method.to_owned()).collect(),
-                service: Some(service.name.clone()),
-                kind,
-                host: None,
-                split: Vec::new(),
-                timeout_ms: None,
-                target_ms: None,
-                priority: None,
-                attempts_max: None,
+            let route = |methods: &[&str], kind| {
+                convert::plain_route(&format!("/{}", service.name), methods, &service.name, kind)
             };
             [
-                route(&["GET", "PUT"], KindText::Safe),
-                route(&["POST"], KindText::Unsafe),
+                route(&["GET", "PUT"], Kind::Safe),
+                route(&["POST"], Kind::Unsafe),
             ]
         });
         DocumentText {
--- a/crates/daemon/tests/store.rs
+++ b/crates/daemon/tests/store.rs
@@ -91,6 +91,18 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_another_request() {
+    let system = StoreSystem::new("store-mixed", 1).await;
+    for backend in &system.backends {
+        backend.turn(|knobs| knobs.gray = Gray::Mixed);
+    }
+    let reply = system.ask(0, Method::POST, "/order/1", "mine").await;
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, 502);
+    assert!(!reply.body.contains("someone-else"), "{}", reply.body);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn restart_while_store_is_away() {
     let mut system = StoreSystem::new("store-away", 3).await;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 use {
     bytes::Bytes,
+    config::Kind,
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Method, Request},
     hyper_util::{client::legacy::Client, rt::TokioExecutor},
@@ -22,8 +23,8 @@
     wire::{
         convert,
         generated::{
-            ConfigKind, ConfigRecord, DetectionText, DocumentText, KindText, ListedInstance,
-            ListedServer, MemberList, PresenceText, RouteText, ServiceText,
+            ConfigKind, ConfigRecord, DetectionText, DocumentText, ListedInstance, ListedServer,
+            MemberList, PresenceText, ServiceText,
         },
         to_text,
     },
@@ -236,18 +237,7 @@
 
 /// The document under test.
 pub(crate) fn document(deadline_ms: u64) -> DocumentText {
-    let route = |methods: &[&str], kind| RouteText {
-        prefix: "/orders".into(),
-        methods: methods.iter().map(|&method| method.into()).collect(),
-        service: Some("orders".into()),
-        kind,
-        host: None,
-        split: Vec::new(),
-        timeout_ms: None,
-        target_ms: None,
-        priority: None,
-        attempts_max: None,
-    };
+    let route = |methods: &[&str], kind| convert::plain_route("/orders", methods, "orders", kind);
     DocumentText {
         limits: None,
         services: vec![ServiceText {
@@ -259,10 +249,7 @@
             max_body_bytes: 1 << 20,
             hold_bytes: 1 << 16,
         }],
-        routes: vec![
-            route(&["GET"], KindText::Safe),
-            route(&["POST"], KindText::Unsafe),
-        ],
+        routes: vec![route(&["GET"], Kind::Safe), route(&["POST"], Kind::Unsafe)],
     }
 }
 
--- a/crates/daemon/tests/support/store.rs
+++ b/crates/daemon/tests/support/store.rs
@@ -4,7 +4,7 @@
     crate::support::{free_address, send, wait_ready, Reply},
     hyper::Method,
     serde_json::json,
-    standin::{Backend, BackendKnobs, FaultProxy, Store},
+    standin::{caller_headers, Backend, BackendKnobs, FaultProxy, ServerEntry, Store},
     std::{
         env, fs,
         net::SocketAddr,
@@ -13,8 +13,8 @@
     },
 };
 
-/// Host of the routes.
-pub(crate) const HOST: &str = "orders.example";
+/// Deadline that callers give, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
 
 /// A real `catkinhitchd` on the store's platform; dropping it kills it.
 pub(crate) struct StoreProcess {
@@ -108,34 +108,18 @@
 
     /// Writes a backend server's own entry.
     pub(crate) fn report(&self, backend: usize, state: &str, sequence: u64) {
-        let entry = json!({
-            "address": self.backends[backend].address.to_string(),
-            "born": 1_700_000_000_000_u64,
-            "info": { "service": "orders", "version": "v1", "zone": "a", "slots": 4 },
-            "status": { "state": state, "sequence": sequence, "warmup_left_s": 0 },
+        self.store.report(&ServerEntry {
+            id: &format!("b{backend}"),
+            address: self.backends[backend].address,
+            data_centre: "a",
+            state,
+            sequence,
         });
-        let id = format!("b{backend}");
-        self.store
-            .put("keyed.servers", &id, Some(&entry.to_string()));
     }
 
     /// Writes a configuration as an operator does.
     pub(crate) fn configure(&self, version: u64, timeout_s: f64) {
-        let route = |prefix: &str, kind: &str| {
-            json!({
-                "name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind,
-                "timeout_s": timeout_s, "target_latency_s": 0.5, "priority": 1,
-                "service": "orders", "max_attempts": 2,
-            })
-        };
-        let document = json!({
-            "version": format!("r{version}"),
-            "routes": [route("/read/", "safe"), route("/order/", "unsafe"), route(&format!("/v{version}/"), "safe")],
-            "services": [{ "name": "orders", "health_path": "/health", "max_connections": 400, "protocol": "h1", "tls": false }],
-            "limits": { "max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15 },
-        });
-        self.store
-            .put("keyed.op", "config", Some(&document.to_string()));
+        self.store.configure(version, timeout_s);
     }
 
     async fn start(&mut self, number: usize) {
@@ -179,7 +163,8 @@
         path: &str,
         id: &str,
     ) -> Option<Reply> {
-        let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "3000")];
+        let owned = caller_headers(id, DEADLINE_MS);
+        let headers = [0, 1, 2].map(|at| (owned[at].0, owned[at].1.as_str()));
         send(
             self.processes[process].caller,
             method,
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -28,6 +28,9 @@
 const SILENT_FIRST_MS: u64 = 1_500;
 /// Longest time for which it is not asked, in milliseconds.
 const SILENT_MAX_MS: u64 = 12_000;
+/// Age from which news are too old for those to whom others turn, in milliseconds: news that go round among the others
+/// grow old together, and a change must be in force everywhere two seconds later.
+const MUST_KNOW_MS: u64 = 1_200;
 /// Age up to which the list of an instance that answers is waited with, in milliseconds: while the platform is away
 /// for everybody, reads by everybody would only be paid for.
 const PATIENCE_MS: u64 = 5_000;
@@ -63,12 +66,13 @@
         }
         // Those to whom others turn, for news or for slots, do not wait for whoever is first.
         let must_know = feeds_others(&view, &feed.own.name) || (feed.hooks.owns_pools)();
-        let least = if must_know {
-            News::Fresh
+        let (least, fresh_ms) = if must_know {
+            (News::Fresh, MUST_KNOW_MS)
         } else {
-            News::Waiting
+            (News::Waiting, STALE_MS)
         };
-        let news = pull_any(&feed, &candidates(&feed, &view, preferred)).await;
+        let asked = candidates(&feed, &view, preferred);
+        let news = pull_any(&feed, &asked, fresh_ms).await;
         let is_starting = !queries::is_complete(&feed) && feed.now_ms() < START_PATIENCE_MS;
         if news < least && is_starting {
             sleep(Duration::from_millis(START_SPREAD_MS)).await;
@@ -138,15 +142,18 @@
 }
 
 /// Asks the first; if it gives no fresh news, all others at once, so that several that went silent cost one wait.
-async fn pull_any(feed: &Feed, candidates: &[Instance]) -> News {
+async fn pull_any(feed: &Feed, candidates: &[Instance], fresh_ms: u64) -> News {
     let Some((first, others)) = candidates.split_first() else {
         return News::Silent;
     };
-    let mut best = pull_one(feed, first).await;
+    let mut best = pull_one(feed, first, fresh_ms).await;
     if best == News::Fresh {
         return best;
     }
-    let mut asked: FuturesUnordered<_> = others.iter().map(|peer| pull_one(feed, peer)).collect();
+    let mut asked: FuturesUnordered<_> = others
+        .iter()
+        .map(|peer| pull_one(feed, peer, fresh_ms))
+        .collect();
     while let Some(news) = asked.next().await {
         best = best.max(news);
         if best == News::Fresh {
@@ -156,7 +163,8 @@
     best
 }
 
-async fn pull_one(feed: &Feed, peer: &Instance) -> News {
+/// Asks one instance; its answer is fresh if it is younger than `fresh_ms`.
+async fn pull_one(feed: &Feed, peer: &Instance, fresh_ms: u64) -> News {
     let known_version = (feed.hooks.config_version)();
     let ((known_feed, known_list), list_digest) =
         feed.lists.with(0, |lists| (lists.taken_from, lists.digest));
@@ -176,7 +184,7 @@
     feed.lists.with(0, |lists| lists.silent.remove(&peer.name));
     let knows_config = answer.config.is_some() || known_version > 0;
     let news = match answer.source_age_ms {
-        age_ms if age_ms < STALE_MS && knows_config => News::Fresh,
+        age_ms if age_ms < fresh_ms && knows_config => News::Fresh,
         age_ms if age_ms < PATIENCE_MS && knows_config => News::Waiting,
         _ => News::Old,
     };
--- /dev/null
+++ b/crates/feed/tests/feed.rs
@@ -0,0 +1,226 @@
+//! Tests of who reads the platform and who hears from whom, with fakes in place of platform and peers.
+
+use {
+    config::Document,
+    feed::{
+        commands::{follow, note_asker},
+        queries::{is_complete, source_age_ms, sync_answer},
+        Feed, Hooks,
+    },
+    member::{BackendServer, Instance},
+    std::{
+        sync::{
+            atomic::{AtomicBool, AtomicU64, Ordering},
+            Arc, Mutex,
+        },
+        time::{Duration, Instant},
+    },
+    stream::{Change, Published, ReadError, Reading, Source},
+    tokio::time::sleep,
+    wire::{
+        convert::instance_text,
+        generated::{SyncAnswer, SyncAsk},
+    },
+};
+
+/// A fake platform and fake peers, and what was asked of them.
+#[derive(Default)]
+struct Fakes {
+    away: AtomicBool,
+    reads: AtomicU64,
+    syncs: AtomicU64,
+    instances: Mutex<Vec<Instance>>,
+    /// Answer of every peer; none is silence.
+    peer: Mutex<Option<SyncAnswer>>,
+    version: AtomicU64,
+}
+
+fn instance(name: &str) -> Instance {
+    Instance::new(name, "a", ([127, 0, 0, 1], 1).into())
+}
+
+fn server() -> BackendServer {
+    BackendServer::new("b", "s", "a", ([127, 0, 0, 1], 2).into(), 1)
+}
+
+fn reading<Value>(values: Vec<(String, Value)>) -> Reading<Value> {
+    let changes = values.into_iter().map(|(name, value)| Change {
+        name,
+        value: Some(value),
+    });
+    Reading {
+        whole: true,
+        next: 0,
+        changes: changes.collect(),
+        faults: Vec::new(),
+    }
+}
+
+fn source(fakes: &Arc<Fakes>) -> Source {
+    let (config, servers, instances) = (Arc::clone(fakes), Arc::clone(fakes), Arc::clone(fakes));
+    Source {
+        configuration: Box::new(move |_| {
+            let published = Published {
+                version: 3,
+                document: Document::default(),
+            };
+            let result = read(&config, || reading(vec![("config".into(), published)]));
+            Box::pin(async move { result })
+        }),
+        servers: Box::new(move |_| {
+            let result = read(&servers, || reading(vec![("b".into(), server())]));
+            Box::pin(async move { result })
+        }),
+        instances: Box::new(move |_| {
+            let listed = instances.instances.lock().expect("no panic").clone();
+            let rows = listed.into_iter().map(|one| (one.name.clone(), one));
+            let result = Ok(reading(rows.collect()));
+            Box::pin(async move { result })
+        }),
+        announce: Box::new(|_| Box::pin(async { Ok(()) })),
+        withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
+    }
+}
+
+fn read<Value, Make>(fakes: &Fakes, make: Make) -> Result<Reading<Value>, ReadError>
+where
+    Make: FnOnce() -> Reading<Value>,
+{
+    fakes.reads.fetch_add(1, Ordering::SeqCst);
+    if fakes.away.load(Ordering::SeqCst) {
+        return Err(ReadError::Away);
+    }
+    Ok(make())
+}
+
+fn feed(fakes: &Arc<Fakes>, own: &str) -> Arc<Feed> {
+    let (sync, version, put) = (Arc::clone(fakes), Arc::clone(fakes), Arc::clone(fakes));
+    let hooks = Hooks {
+        sync: Box::new(move |_, _, limit_ms| {
+            let fakes = Arc::clone(&sync);
+            Box::pin(async move {
+                fakes.syncs.fetch_add(1, Ordering::SeqCst);
+                let answer = fakes.peer.lock().expect("no panic").clone();
+                sleep(Duration::from_millis(limit_ms / 10)).await;
+                answer
+            })
+        }),
+        is_skipped: Box::new(|_| false),
+        config_version: Box::new(move || version.version.load(Ordering::SeqCst)),
+        put_in_force: Box::new(move |published| {
+            put.version.fetch_max(published.version, Ordering::SeqCst);
+        }),
+        adopt: Box::new(|_| {}),
+        config_answer: Box::new(|_| None),
+        owns_pools: Box::new(|| false),
+        publish: Box::new(|_| {}),
+    };
+    Arc::new(Feed::new(instance(own), &[], source(fakes), hooks))
+}
+
+fn fresh_answer() -> SyncAnswer {
+    SyncAnswer {
+        feed: 7,
+        config: None,
+        list_version: 1,
+        whole: true,
+        settled: true,
+        source_age_ms: 0,
+        instances: Vec::new(),
+        servers: Vec::new(),
+        gone_instances: Vec::new(),
+        gone_servers: Vec::new(),
+    }
+}
+
+/// The names in rendezvous order, the first reader first.
+fn order() -> Vec<String> {
+    let all = ["i0", "i1", "i2", "i3"].map(instance).to_vec();
+    let view = member::View::new(1, all, Vec::new());
+    let order = member::queries::task_order(&view, "feed", 4);
+    order.iter().map(|one| one.name.clone()).collect()
+}
+
+fn four() -> Arc<Fakes> {
+    let fakes = Arc::new(Fakes::default());
+    *fakes.instances.lock().expect("no panic") = ["i0", "i1", "i2", "i3"].map(instance).to_vec();
+    fakes
+}
+
+#[tokio::test]
+async fn follow_first_in_order_reads() {
+    let fakes = four();
+    let feed = feed(&fakes, &order()[0]);
+    tokio::spawn(follow(Arc::clone(&feed)));
+    sleep(Duration::from_millis(600)).await;
+    assert!(is_complete(&feed) && source_age_ms(&feed) < 1_000);
+    assert_eq!(fakes.version.load(Ordering::SeqCst), 3);
+    // Others may be asked before the first reading, and not after.
+    let asked = fakes.syncs.load(Ordering::SeqCst);
+    sleep(Duration::from_millis(900)).await;
+    assert_eq!(fakes.syncs.load(Ordering::SeqCst), asked);
+}
+
+#[tokio::test]
+async fn follow_other_hears_and_does_not_read() {
+    let fakes = four();
+    fakes.version.store(3, Ordering::SeqCst);
+    *fakes.peer.lock().expect("no panic") = Some(fresh_answer());
+    let feed = feed(&fakes, &order()[3]);
+    tokio::spawn(follow(Arc::clone(&feed)));
+    sleep(Duration::from_millis(1_200)).await;
+    assert!(is_complete(&feed));
+    assert!(fakes.syncs.load(Ordering::SeqCst) > 1);
+    assert_eq!(fakes.reads.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn follow_other_reads_when_all_are_silent() {
+    let fakes = four();
+    let feed = feed(&fakes, &order()[3]);
+    tokio::spawn(follow(Arc::clone(&feed)));
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(is_complete(&feed));
+    assert!(fakes.reads.load(Ordering::SeqCst) > 0);
+}
+
+#[tokio::test]
+async fn sync_answer_tells_failure_at_once() {
+    let fakes = four();
+    let feed = feed(&fakes, &order()[0]);
+    tokio::spawn(follow(Arc::clone(&feed)));
+    sleep(Duration::from_millis(600)).await;
+    let known = sync_answer(&feed, &ask(0, 0)).await;
+    assert!(known.whole && known.servers.len() == 1 && known.source_age_ms < 2_500);
+    fakes.away.store(true, Ordering::SeqCst);
+    let asked = Instant::now();
+    let told = sync_answer(&feed, &ask(feed.id, known.list_version)).await;
+    assert!(told.source_age_ms >= 2_500, "{}", told.source_age_ms);
+    assert!(asked.elapsed() < Duration::from_millis(1_500));
+}
+
+#[tokio::test]
+async fn sync_answer_waits_for_change() {
+    let feed = feed(&four(), "i0");
+    let first = sync_answer(&feed, &ask(0, 0)).await;
+    let asked = Instant::now();
+    let telling = async {
+        sleep(Duration::from_millis(100)).await;
+        note_asker(&feed, &instance_text(&instance("i9")));
+    };
+    let waiting = ask(feed.id, first.list_version);
+    let (answer, ()) = tokio::join!(sync_answer(&feed, &waiting), telling);
+    assert!(asked.elapsed() >= Duration::from_millis(100));
+    assert_eq!(answer.instances.len(), 1);
+}
+
+fn ask(feed: u64, known_list: u64) -> SyncAsk {
+    SyncAsk {
+        known_version: 3,
+        feed,
+        known_list,
+        list_digest: 0,
+        wait_ms: 2_000,
+        own: instance_text(&instance("i2")),
+    }
+}
--- a/crates/soak/src/commands/callers.rs
+++ b/crates/soak/src/commands/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that keep their connections open and send reads and orders.
 
 use {
-    crate::world::{Outcome, World, HOST},
+    crate::world::{Outcome, World},
     bytes::Bytes,
     fastrand::Rng,
     http_body_util::{BodyExt, Full},
@@ -10,6 +10,7 @@
         client::legacy::{connect::HttpConnector, Client},
         rt::TokioExecutor,
     },
+    standin::{caller_headers, is_own_answer},
     std::{
         net::SocketAddr,
         sync::{
@@ -80,9 +81,10 @@
     let sent = Instant::now();
     let answer = ask(client, world.instances[instance].caller, method, path, id).await;
     let (status, is_own) = match answer {
-        Some((status, headers, body)) => {
-            (Some(status), status != 200 || is_own(&headers, &body, id))
-        }
+        Some((status, headers, body)) => (
+            Some(status),
+            status != 200 || is_own_answer(&headers, &body, id),
+        ),
         None => (None, true),
     };
     Outcome {
@@ -104,12 +106,13 @@
     path: &str,
     id: &str,
 ) -> Option<(u16, HeaderMap, Bytes)> {
-    let request = Request::builder()
+    let mut request = Request::builder()
         .method(method)
-        .uri(format!("http://{address}{path}"))
-        .header("host", HOST)
-        .header("request-id", id)
-        .header("deadline-ms", DEADLINE_MS)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in caller_headers(id, DEADLINE_MS) {
+        request = request.header(name, value);
+    }
+    let request = request
         .body(Full::new(Bytes::from_static(b"marble")))
         .ok()?;
     let exchange = async {
@@ -122,12 +125,3 @@
         .await
         .ok()?
 }
-
-/// A server's own answer begins with the request's id, bears its proof and ends with its last line.
-fn is_own(headers: &HeaderMap, body: &[u8], id: &str) -> bool {
-    let proof = headers.get("response-signature");
-    let text = String::from_utf8_lossy(body);
-    proof.is_some_and(|proof| proof == id)
-        && text.starts_with(&format!("{id} "))
-        && text.ends_with("end\n")
-}
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,8 +1,8 @@
 //! The system under test and what is kept of its run.
 
 use {
-    serde_json::{json, Value},
-    standin::{Backend, BackendKnobs, FaultProxy, Store},
+    serde_json::json,
+    standin::{Backend, BackendKnobs, FaultProxy, ServerEntry, Store},
     std::{
         env, fs, io,
         net::{SocketAddr, TcpListener},
@@ -14,8 +14,8 @@
     tokio::process::{Child, Command},
 };
 
-/// Host of the routes.
-pub(crate) const HOST: &str = "orders.example";
+/// Timeout of the routes, in seconds.
+const TIMEOUT_S: f64 = 1.2;
 /// First port tried; below the range for outgoing connections.
 const FIRST_PORT: u16 = 11_000;
 /// Ports tried.
@@ -181,35 +181,24 @@
         self.notes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Writes a server's own entry; none takes it away.
+    /// Writes a server's own entry; `gone` takes it away.
     pub(crate) fn report(&self, server: usize, state: &str, sequence: u64) {
-        let entry = json!({
-            "address": self.servers[server].proxy.address.to_string(),
-            "born": 1_700_000_000_000_u64,
-            "info": { "service": "orders", "version": "v1", "zone": format!("dc{}", server % 2), "slots": 4 },
-            "status": { "state": state, "sequence": sequence, "warmup_left_s": 0 },
-        });
         let id = format!("b{server}");
-        let text = (state != "gone").then(|| entry.to_string());
-        self.store.put("keyed.servers", &id, text.as_deref());
+        if state == "gone" {
+            return self.store.forget(&id);
+        }
+        self.store.report(&ServerEntry {
+            id: &id,
+            address: self.servers[server].proxy.address,
+            data_centre: &format!("dc{}", server % 2),
+            state,
+            sequence,
+        });
     }
 
     /// Writes a configuration whose version shows in one of its routes.
     pub(crate) fn configure(&self, version: u64) {
-        let route = |prefix: &str, kind: &str| -> Value {
-            json!({
-                "name": prefix, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_s": 1.2,
-                "target_latency_s": 0.4, "priority": 1, "service": "orders", "max_attempts": 2,
-            })
-        };
-        let document = json!({
-            "version": format!("r{version}"),
-            "routes": [route("/read/", "safe"), route("/order/", "unsafe"), route(&format!("/v{version}/"), "safe")],
-            "services": [{ "name": "orders", "health_path": "/health", "max_connections": 400 }],
-            "limits": { "max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_s": 3, "idle_timeout_s": 15 },
-        });
-        self.store
-            .put("keyed.op", "config", Some(&document.to_string()));
+        self.store.configure(version, TIMEOUT_S);
     }
 
     /// How often a request ran, over all servers.
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -279,7 +279,13 @@
         if failed { Gray::Errors } else { gray },
     );
     Some(if proves {
-        prove(answer, &work, &shared.name)
+        // An answer that belongs to another request bears that one's id and proof.
+        let id = if gray == Gray::Mixed && !failed {
+            "someone-else"
+        } else {
+            work.id.as_str()
+        };
+        prove(answer, id, &shared.name)
     } else if knobs.draining {
         mark(answer, "x-draining")
     } else {
@@ -317,10 +323,10 @@
     (-(1.0 - fastrand::f64()).ln() * knobs.service_us as f64 * factor) as u64
 }
 
-fn prove(mut answer: Answer, work: &Work, server: &str) -> Answer {
+fn prove(mut answer: Answer, id: &str, server: &str) -> Answer {
     let headers = answer.headers_mut();
-    for (name, text) in [("request-id", &work.id), ("response-signature", &work.id)] {
-        if let Ok(value) = HeaderValue::from_str(text) {
+    for name in ["request-id", "response-signature"] {
+        if let Ok(value) = HeaderValue::from_str(id) {
             headers.insert(name, value);
         }
     }
--- /dev/null
+++ b/crates/standin/src/entries.rs
@@ -0,0 +1,90 @@
+//! What operators, backend servers and callers of the store's platform write, for tests that play them.
+
+use {
+    crate::Store,
+    hyper::HeaderMap,
+    serde_json::{json, Value},
+    std::net::SocketAddr,
+};
+
+/// Host of the routes.
+pub const STORE_HOST: &str = "orders.example";
+/// Start that all servers give, in milliseconds since 1970.
+const BORN_MS: u64 = 1_700_000_000_000;
+
+/// A backend server's own entry.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerEntry<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: &'a str,
+    /// `ready` or `draining`.
+    pub state: &'a str,
+    /// Count of its writings.
+    pub sequence: u64,
+}
+
+impl Store {
+    /// Writes a server's entry of the service `orders`.
+    pub fn report(&self, entry: &ServerEntry<'_>) {
+        let text = json!({
+            "address": entry.address.to_string(),
+            "born": BORN_MS,
+            "info": { "service": "orders", "version": "v1", "zone": entry.data_centre, "slots": 4 },
+            "status": { "state": entry.state, "sequence": entry.sequence, "warmup_left_s": 0 },
+        });
+        self.put("keyed.servers", entry.id, Some(&text.to_string()));
+    }
+
+    /// Takes a server's entry away.
+    pub fn forget(&self, id: &str) {
+        self.put("keyed.servers", id, None);
+    }
+
+    /// Writes a configuration with routes `/read/`, `/order/` and one that shows its version.
+    pub fn configure(&self, version: u64, timeout_s: f64) {
+        let route = |prefix: &str, kind: &str| -> Value {
+            json!({
+                "name": prefix, "host": STORE_HOST, "path_prefix": prefix, "kind": kind,
+                "timeout_s": timeout_s, "target_latency_s": 0.5, "priority": 1,
+                "service": "orders", "max_attempts": 2,
+            })
+        };
+        let document = json!({
+            "version": format!("r{version}"),
+            "routes": [
+                route("/read/", "safe"),
+                route("/order/", "unsafe"),
+                route(&format!("/v{version}/"), "safe"),
+            ],
+            "services": [{ "name": "orders", "health_path": "/health", "max_connections": 400 }],
+            "limits": {
+                "max_header_bytes": 16384, "max_body_bytes": 1048576,
+                "header_timeout_s": 3, "idle_timeout_s": 15,
+            },
+        });
+        self.put("keyed.op", "config", Some(&document.to_string()));
+    }
+}
+
+/// Returns the headers of a caller's request.
+pub fn caller_headers(id: &str, deadline_ms: u64) -> [(&'static str, String); 3] {
+    [
+        ("host", STORE_HOST.to_owned()),
+        ("request-id", id.to_owned()),
+        ("deadline-ms", deadline_ms.to_string()),
+    ]
+}
+
+/// Tells whether a success is the whole answer of a server that [proves](crate::BackendKnobs::proves) to the request
+/// of that id: it begins with the id, bears its proof and ends with its last line.
+pub fn is_own_answer(headers: &HeaderMap, body: &[u8], id: &str) -> bool {
+    let proof = headers.get("response-signature");
+    let text = String::from_utf8_lossy(body);
+    proof.is_some_and(|proof| proof == id)
+        && text.starts_with(&format!("{id} "))
+        && text.ends_with("end\n")
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod backend_answer;
+mod entries;
 mod fault;
 mod log_store;
 mod platform;
@@ -13,6 +14,7 @@
 
 pub use crate::{
     backend::{Arrival, Backend, BackendKnobs, Gray, Runs},
+    entries::{caller_headers, is_own_answer, ServerEntry, STORE_HOST},
     fault::{FaultKnobs, FaultProxy},
     log_store::LogRecordText,
     platform::{Platform, PlatformKnobs},
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -7,7 +7,9 @@
 
 pub use self::{
     claims::{claim_entries, claim_record},
-    configs::{config_entry, config_record, document_from_text, document_text, finding_texts},
+    configs::{
+        config_entry, config_record, document_from_text, document_text, finding_texts, plain_route,
+    },
     ejections::{ejection_record, ejection_text},
     members::{delta, instance, instance_text, sync_answer, view},
 };
--- a/crates/wire/src/convert/configs.rs
+++ b/crates/wire/src/convert/configs.rs
@@ -165,6 +165,14 @@
     }
 }
 
+/// Writes a route of all hosts to one service, with neither timeout nor target.
+pub fn plain_route(prefix: &str, methods: &[&str], service: &str, kind: Kind) -> RouteText {
+    route_text(&Route {
+        methods: methods.iter().map(|&method| method.to_owned()).collect(),
+        ..Route::new(prefix, service, kind)
+    })
+}
+
 fn part_text(part: &Part) -> PartText {
     PartText {
         service: part.service.clone(),
