Call one function where the change had written a thing twice

Cause: reading the whole change once more.

Change: `types::doubled_ms`, `willing_owners` and `is_skipped` of the daemon's queries, `open_pool`, `answer::whole`, `feed::commands::wake`. Also: a whole list from another instance is compared by a set, not by a walk over it for each server known; waiters that are gone are found by a set; a configuration that is read again with the whole list is no longer digested and verified, since nothing of it can come into force; the feed looks once, not twice, at its lists for news. No behaviour, bound or test is changed.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -6,11 +6,12 @@
 use {
     crate::{
         commands::{local, peers::call, pool_return, pool_take},
+        queries::willing_owners,
         Node,
     },
     entry::{AcquireAsk, Evidence, Grant, Policy, Refused, Release},
     member::{
-        queries::{find_instance, is_skipped, owner_order, pool_areas},
+        queries::{find_instance, pool_areas},
         Instance, View,
     },
     std::{
@@ -18,7 +19,7 @@
         time::{Duration, Instant},
     },
     tokio::time::sleep,
-    types::{hash_of, ResultCode},
+    types::ResultCode,
     wire::generated::{EvidenceText, PermitAnswer, PermitAsk, PermitReturn, PermitVerdict},
 };
 
@@ -86,14 +87,7 @@
     ask: &AcquireAsk,
     may_queue: bool,
 ) -> Result<Grant, Refused> {
-    let now_ms = node.now_ms();
-    let order = owner_order(view, &ask.service, area);
-    let willing = order.into_iter().filter(|instance| {
-        node.contacts.with(hash_of(&instance.name), |contacts| {
-            !is_skipped(contacts, &instance.name, now_ms)
-        })
-    });
-    for owner in willing.take(OWNERS_MAX) {
+    for owner in willing_owners(node, view, &ask.service, area).take(OWNERS_MAX) {
         if let Some(result) = ask_owner(node, owner, area, ask, may_queue).await {
             return result;
         }
--- a/crates/daemon/src/commands/adopt.rs
+++ b/crates/daemon/src/commands/adopt.rs
@@ -92,7 +92,7 @@
     }
     publish(node);
     if let Some(feed) = node.feed.get() {
-        feed::commands::note_config_changed(feed);
+        feed::commands::wake(feed);
     }
     let line = json!({ "belief": "in force", "version": accepted.version, "source": source });
     info!(target: "decision.config", "{line}");
--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -17,7 +17,7 @@
     std::{sync::Arc, time::Duration},
     stream::Published,
     tokio::time::sleep,
-    types::{hash_of, ResultCode},
+    types::ResultCode,
 };
 
 /// Time between sweeps of idle connections, in milliseconds.
@@ -82,12 +82,7 @@
             let node = Arc::clone(&sync);
             Box::pin(async move { call(&node, &peer, "sync", &ask, limit_ms).await.ok() })
         }),
-        is_skipped: Box::new(move |name| {
-            let now_ms = skipped.now_ms();
-            skipped.contacts.with(hash_of(name), |contacts| {
-                member::queries::is_skipped(contacts, name, now_ms)
-            })
-        }),
+        is_skipped: Box::new(move |name| queries::is_skipped(&skipped, name)),
         config_version: Box::new(move || queries::version_in_force(&version)),
         put_in_force: Box::new(move |new| put_in_force(&published, new)),
         adopt: Box::new(move |answer| adopt::adopt_answer(&adopted, answer)),
@@ -102,6 +97,10 @@
 
 /// Puts a configuration that the platform has as approved in force, unless a newer one is.
 fn put_in_force(node: &Node, published: &Published) {
+    if published.version <= queries::version_in_force(node) {
+        // Read again with the whole list; nothing of it is news.
+        return;
+    }
     let accepted = Accepted {
         version: published.version,
         digest: config::queries::digest(&published.document),
--- a/crates/daemon/src/commands/eject.rs
+++ b/crates/daemon/src/commands/eject.rs
@@ -12,9 +12,10 @@
             probe,
         },
         owner::PoolState,
+        queries::willing_owners,
         Node,
     },
-    member::queries::{is_skipped, owner_order, pool_areas},
+    member::queries::pool_areas,
     outlier::{
         commands::{begin_ejection, end_ejection},
         queries::{self, judge},
@@ -22,7 +23,7 @@
     },
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
     stream::commands::append,
-    types::{hash_of, ServerIndex},
+    types::ServerIndex,
     wire::{
         convert,
         generated::{ProvedAnswer, ProvedAsk},
@@ -203,7 +204,6 @@
 /// Asks the owners of all pools of the service; an owner that can't be asked counts as no proved capacity.
 async fn others_of_service(node: &Arc<Node>, case: &Case) -> Others {
     let view = node.view.load_full();
-    let now_ms = node.now_ms();
     let mut others = Others::default();
     others.add(&own_proved(
         node,
@@ -219,13 +219,7 @@
             service: case.service.clone(),
             area: area.to_owned(),
         };
-        let order = owner_order(&view, &case.service, area);
-        let owner = order.into_iter().find(|instance| {
-            node.contacts.with(hash_of(&instance.name), |contacts| {
-                !is_skipped(contacts, &instance.name, now_ms)
-            })
-        });
-        if let Some(owner) = owner {
+        if let Some(owner) = willing_owners(node, &view, &case.service, area).next() {
             let answer = call(node, owner, "proved", &ask, PROVED_TIMEOUT_MS).await;
             others.add(&answer.unwrap_or(NOTHING_PROVED));
         }
--- a/crates/daemon/src/commands/hand_over.rs
+++ b/crates/daemon/src/commands/hand_over.rs
@@ -7,25 +7,25 @@
     crate::{
         commands::{
             peers::call,
-            pool_list::{list_pool, restand},
+            pool_list::{open_pool, restand},
         },
         owner::PoolState,
+        queries::willing_owners,
         Node,
     },
     futures_util::future::join_all,
     log::info,
-    member::{
-        queries::{is_skipped, owner_order},
-        Instance,
-    },
+    member::{queries::owner_order, Instance},
     outlier::{
         commands::{adopt, adopt_tail, Heard},
         Tail,
     },
-    permit::{commands, queries},
+    permit::{
+        commands,
+        queries::{counts, service_us},
+    },
     serde_json::json,
     std::sync::Arc,
-    types::hash_of,
     wire::generated::{PoolAsk, PoolEvidence, ServerEvidence},
 };
 
@@ -41,14 +41,8 @@
 /// Asks others what they know of a pool that was just opened here.
 pub(crate) async fn ask_others(node: &Arc<Node>, service: &str, area: &str) {
     let view = node.view.load_full();
-    let now_ms = node.now_ms();
-    let order = owner_order(&view, service, area);
-    let others = order.into_iter().filter(|instance| {
-        instance.name != node.settings.instance
-            && !node.contacts.with(hash_of(&instance.name), |contacts| {
-                is_skipped(contacts, &instance.name, now_ms)
-            })
-    });
+    let willing = willing_owners(node, &view, service, area);
+    let others = willing.filter(|instance| instance.name != node.settings.instance);
     let ask = PoolAsk {
         service: service.to_owned(),
         area: area.to_owned(),
@@ -105,11 +99,7 @@
     let id = node.owner.id(&evidence.service, &evidence.area);
     let now_ms = node.now_ms();
     node.owner.with(id, |pools| {
-        let state = pools.entry(id).or_insert_with(|| {
-            let mut state = PoolState::new(&evidence.service, &evidence.area, now_ms);
-            list_pool(node, &mut state, &node.view.load(), now_ms);
-            state
-        });
+        let state = open_pool(node, pools, id, &evidence.service, &evidence.area, now_ms);
         adopt_evidence(state, evidence, node.settings.retry_window_ms, now_ms);
     });
     node.pool_opened.notify_one();
@@ -146,7 +136,7 @@
 }
 
 fn evidence(state: &PoolState, now_ms: u64) -> PoolEvidence {
-    let (requests, retries) = queries::counts(&state.budget);
+    let (requests, retries) = counts(&state.budget);
     let servers = state.health.servers.iter().filter_map(|(index, entry)| {
         let note = state.notes.get(index).filter(|note| note.listed)?;
         let age_ms = now_ms.saturating_sub(entry.belief_ms);
@@ -162,7 +152,7 @@
     PoolEvidence {
         tail_us: state.health.tail.tail_us as u64,
         tail_count: state.health.tail.count,
-        service_us: queries::service_us(&state.pool) as u64,
+        service_us: service_us(&state.pool) as u64,
         requests,
         retries,
         servers: servers.collect(),
--- a/crates/daemon/src/commands/local.rs
+++ b/crates/daemon/src/commands/local.rs
@@ -15,11 +15,11 @@
 
 /// Failures in a row after which this instance avoids a server.
 const FAILURES_IN_ROW: u32 = 5;
+/// Time for which it avoids the server, in milliseconds.
+const AVOID_MS: u64 = 30_000;
 /// Time for which a server that could not be reached is not asked for, in milliseconds; a cut between two machines
 /// lasts for seconds, and another try costs a request a quarter of a second.
 const UNREACHABLE_MS: u64 = 2_000;
-/// Time for which it avoids the server, in milliseconds.
-const AVOID_MS: u64 = 30_000;
 
 /// Chooses the less loaded of two random live servers that are not avoided, nearest data centre first.
 pub(crate) fn choose(node: &Node, ask: &AcquireAsk) -> Result<Grant, Refused> {
--- a/crates/daemon/src/commands/pool_list.rs
+++ b/crates/daemon/src/commands/pool_list.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        owner::{Note, PoolState},
+        owner::{Note, PoolId, PoolState},
         Node,
     },
     config::{queries::find_service, Detection},
     member::{queries::pool_servers, BackendServer, Presence, View},
     outlier::{queries::cost_permille, Sensitivity, ServerHealth},
     permit::{commands::list_server, Standing},
+    std::collections::HashMap,
 };
 
 /// Age from which a pool treats a server that it has not seen before as cold, in milliseconds.
@@ -16,6 +17,22 @@
 /// Slots that a cold server starts with.
 const COLD_SLOTS: u32 = 1;
 
+/// Returns the pool of that id, opened and listed if it was not yet.
+pub(crate) fn open_pool<'a>(
+    node: &Node,
+    pools: &'a mut HashMap<PoolId, PoolState>,
+    id: PoolId,
+    service: &str,
+    area: &str,
+    now_ms: u64,
+) -> &'a mut PoolState {
+    pools.entry(id).or_insert_with(|| {
+        let mut state = PoolState::new(service, area, now_ms);
+        list_pool(node, &mut state, &node.view.load(), now_ms);
+        state
+    })
+}
+
 /// Brings `state` in line with `view`, unless it is already.
 pub(crate) fn list_pool(node: &Node, state: &mut PoolState, view: &View, now_ms: u64) {
     apply_service(node, state);
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        commands::{fold_ejections::follow_service, hand_over, pool_list::list_pool},
+        commands::{fold_ejections::follow_service, hand_over, pool_list::open_pool},
         owner::{PoolId, PoolState},
         Node,
     },
@@ -11,7 +11,6 @@
     outlier::queries::hedge_limit_us,
     permit::{commands, queries, Refusal, Spread, Wish},
     std::{
-        collections::HashMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -26,7 +25,6 @@
 const ASK_AFTER_MAX_MS: u64 = 400;
 /// Time past its deadline after which a permit is taken back, in milliseconds; covers a late return.
 const PERMIT_MARGIN_MS: u64 = 500;
-
 /// Part of the fleet's slack of retries that owners give, in percent.
 const SLACK_GIVEN_PERCENT: u32 = 70;
 /// Part of a service's share of retries that owners give, in percent.
@@ -35,6 +33,8 @@
 const NEGLECT_SAFE_MS: u64 = 800;
 /// The same for any request, in milliseconds: a new server is to have work within four seconds.
 const NEGLECT_MS: u64 = 2_000;
+
+/// How an ask goes on.
 enum Step {
     Granted(PermitAnswer),
     Refused(PermitVerdict, u64),
@@ -90,7 +90,7 @@
     let now_ms = node.now_ms();
     let terms = terms(node, ask);
     node.owner.with(id, |pools| {
-        let state = open_pool(node, pools, id, ask, now_ms);
+        let state = open_pool(node, pools, id, &ask.service, &ask.area, now_ms);
         state.asked_ms = now_ms;
         let wish = wish(state, ask, deadline_ms, now_ms);
         try_take(state, wish, ticket, ask, terms, now_ms)
@@ -101,7 +101,7 @@
 async fn open_here(node: &Arc<Node>, id: PoolId, ask: &PermitAsk) {
     let now_ms = node.now_ms();
     node.owner.with(id, |pools| {
-        open_pool(node, pools, id, ask, now_ms);
+        open_pool(node, pools, id, &ask.service, &ask.area, now_ms);
     });
     node.pool_opened.notify_one();
     if node.settings.uses_store {
@@ -159,20 +159,6 @@
     }
 }
 
-fn open_pool<'a>(
-    node: &Node,
-    pools: &'a mut HashMap<PoolId, PoolState>,
-    id: PoolId,
-    ask: &PermitAsk,
-    now_ms: u64,
-) -> &'a mut PoolState {
-    pools.entry(id).or_insert_with(|| {
-        let mut state = PoolState::new(&ask.service, &ask.area, now_ms);
-        list_pool(node, &mut state, &node.view.load(), now_ms);
-        state
-    })
-}
-
 fn excluded(state: &PoolState, names: &[String]) -> Vec<ServerIndex> {
     names
         .iter()
--- a/crates/daemon/src/commands/pool_tick.rs
+++ b/crates/daemon/src/commands/pool_tick.rs
@@ -18,7 +18,11 @@
         Evidence,
     },
     permit::{commands, Standing},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::{interval, MissedTickBehavior},
     types::ServerIndex,
     wire::{generated::PlacementDecision, to_text},
@@ -90,7 +94,7 @@
 }
 
 fn drop_waiters(state: &mut PoolState) {
-    let tickets: Vec<u64> = permit::queries::tickets(&state.pool).collect();
+    let tickets: HashSet<u64> = permit::queries::tickets(&state.pool).collect();
     state.waiters.retain(|ticket, _| tickets.contains(ticket));
 }
 
--- /dev/null
+++ b/crates/daemon/src/queries/peers.rs
@@ -0,0 +1,26 @@
+//! Which other instances this one turns to.
+
+use {
+    crate::Node,
+    member::{queries, Instance, View},
+    types::hash_of,
+};
+
+/// Tells whether this node passes over the instance of that name for now.
+pub(crate) fn is_skipped(node: &Node, name: &str) -> bool {
+    let now_ms = node.now_ms();
+    node.contacts.with(hash_of(name), |contacts| {
+        queries::is_skipped(contacts, name, now_ms)
+    })
+}
+
+/// Walks the instances that may own a pool, first in order first, without those that are passed over.
+pub(crate) fn willing_owners<'a>(
+    node: &'a Node,
+    view: &'a View,
+    service: &str,
+    area: &str,
+) -> impl Iterator<Item = &'a Instance> {
+    let order = queries::owner_order(view, service, area).into_iter();
+    order.filter(|instance| !is_skipped(node, &instance.name))
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -94,7 +94,8 @@
     }
 }
 
-fn whole(body: Bytes) -> BoxedBody {
+/// Makes a body that is there whole.
+pub(crate) fn whole(body: Bytes) -> BoxedBody {
     Full::new(body)
         .map_err(|never: Infallible| match never {})
         .boxed_unsync()
--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::{
+        answer::whole,
         commands::permit::{Finding, Permit},
         connections::connect,
         queries,
@@ -12,13 +13,12 @@
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
-    http_body_util::{BodyExt, Full, StreamBody},
+    http_body_util::{BodyExt, StreamBody},
     hyper::{
         body::{Body as _, Frame, Incoming},
         Request, Response, StatusCode, Uri,
     },
     std::{
-        convert::Infallible,
         io,
         sync::{
             atomic::{AtomicBool, Ordering},
@@ -91,11 +91,7 @@
 
 fn payload(body: &Body) -> Option<BoxedBody> {
     match body {
-        Body::Held(bytes) => Some(
-            Full::new(bytes.clone())
-                .map_err(|never: Infallible| match never {})
-                .boxed_unsync(),
-        ),
+        Body::Held(bytes) => Some(whole(bytes.clone())),
         Body::Once(once) => once.take(),
     }
 }
--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -7,16 +7,12 @@
 
 pub use self::{
     announce::{announce, withdraw},
-    apply::{note_asker, note_config_changed},
+    apply::note_asker,
     pull::pull,
     read::{read_configuration, read_instances, read_servers},
 };
 
-use {
-    crate::{queries, Feed},
-    std::sync::Arc,
-    tokio::join,
-};
+use {crate::Feed, member::queries, std::sync::Arc, tokio::join};
 
 /// Follows everything for ever.
 pub async fn follow(feed: Arc<Feed>) {
@@ -33,10 +29,15 @@
 /// Publishes the list to the node and wakes whoever waits for a change.
 fn publish(feed: &Feed) {
     let view = feed.lists.with(0, |lists| {
-        lists.view = Arc::new(queries::view(lists));
-        lists.digest = member::queries::digest(&lists.roster);
+        lists.view = Arc::new(queries::view(&lists.roster));
+        lists.digest = queries::digest(&lists.roster);
         Arc::clone(&lists.view)
     });
     (feed.hooks.publish)(view);
+    wake(feed);
+}
+
+/// Wakes whoever waits here for news: a newer list or configuration, or that the platform can't be read.
+pub fn wake(feed: &Feed) {
     feed.changed.send_modify(|count| *count += 1);
 }
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -27,11 +27,6 @@
 /// and a half after which the platform drops them.
 const LAPSE_MS: u64 = 3_500;
 
-/// Wakes whoever waits for a newer configuration from this instance.
-pub fn note_config_changed(feed: &Feed) {
-    feed.changed.send_modify(|count| *count += 1);
-}
-
 /// Puts what was read of the configuration in force.
 pub(crate) fn configuration(feed: &Feed, reading: &Reading<Published>) {
     faults("configuration", &reading.faults);
@@ -107,7 +102,7 @@
     }
 }
 
-/// Applies another instance's answer, heard `now_ms`. Its configuration counts whatever its age, since versions
+/// Applies another instance's answer. Its configuration counts whatever its age, since versions
 /// only rise; its list only if it is fresh, or if nothing better is known.
 pub(crate) fn answer(feed: &Feed, answer: &SyncAnswer, is_fresh: bool) {
     if let Some(config) = &answer.config {
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -1,12 +1,16 @@
 //! Reads the platform's lists while this instance is one that does.
 
 use {
-    crate::{commands::apply, Feed},
+    crate::{
+        commands::{apply, wake},
+        Feed,
+    },
     log::{info, warn},
     serde_json::json,
     std::{sync::Arc, time::Duration},
     stream::{Cursor, Read, ReadError, Reading},
     tokio::{sync::watch, time::sleep},
+    types::doubled_ms,
 };
 
 /// How long a read of the configuration or the servers waits for a change, in milliseconds; bounds how long a store
@@ -125,7 +129,7 @@
                 }
                 set_failing(feed, listing, true);
                 failures += 1;
-                let pause_ms = (AWAY_FIRST_MS << failures.min(5)).min(AWAY_MAX_MS);
+                let pause_ms = doubled_ms(AWAY_FIRST_MS, failures, AWAY_MAX_MS);
                 let jittered_ms = pause_ms / 2 + fastrand::u64(0..=pause_ms / 2);
                 sleep(Duration::from_millis(jittered_ms)).await;
             }
@@ -147,7 +151,7 @@
         }
     });
     if is_new {
-        feed.changed.send_modify(|count| *count += 1);
+        wake(feed);
     }
 }
 
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -1,8 +1,8 @@
-//! Queries: the list as a view, and what another instance is told.
+//! Queries: how old what is known is, and what another instance is told.
 
 use {
-    crate::{state::Lists, Feed},
-    member::{queries as roster_queries, View},
+    crate::Feed,
+    member::queries as roster_queries,
     std::time::Duration,
     tokio::time::timeout,
     wire::{
@@ -16,11 +16,6 @@
 /// Age given for a list that was never whole, in milliseconds; a day.
 pub(crate) const NEVER_WHOLE_MS: u64 = 86_400_000;
 
-/// Indexes the lists.
-pub(crate) fn view(lists: &Lists) -> View {
-    roster_queries::view(&lists.roster)
-}
-
 /// Tells whether the list of servers was known whole at some time.
 pub fn is_complete(feed: &Feed) -> bool {
     feed.lists.with(0, |lists| lists.as_of_ms.is_some())
@@ -77,9 +72,8 @@
 }
 
 fn has_news(feed: &Feed, known_version: u64, known_list: u64) -> bool {
-    let list_version = feed
-        .lists
-        .with(0, |lists| roster_queries::list_version(&lists.roster));
-    let is_failing = feed.lists.with(0, |lists| !lists.failing.is_empty());
-    is_failing || list_version != known_list || (feed.hooks.config_version)() > known_version
+    let is_changed = feed.lists.with(0, |lists| {
+        !lists.failing.is_empty() || roster_queries::list_version(&lists.roster) != known_list
+    });
+    is_changed || (feed.hooks.config_version)() > known_version
 }
--- a/crates/member/src/commands/contact.rs
+++ b/crates/member/src/commands/contact.rs
@@ -1,6 +1,9 @@
 //! Commands that change the record of contact.
 
-use crate::{Contact, Contacts};
+use {
+    crate::{Contact, Contacts},
+    types::doubled_ms,
+};
 
 /// First time for which a silent peer is skipped, in milliseconds; short, since the peer may only have stalled
 /// and its second in order knows nothing yet.
@@ -14,10 +17,9 @@
         .peers
         .get(peer)
         .map_or(0, |contact| contact.failures);
-    let skip_ms = (SKIP_FIRST_MS << failures.min(7)).min(SKIP_MAX_MS);
     let contact = Contact {
         failures: failures.saturating_add(1),
-        skip_until_ms: now_ms + skip_ms,
+        skip_until_ms: now_ms + doubled_ms(SKIP_FIRST_MS, failures, SKIP_MAX_MS),
     };
     contacts.peers.insert(peer.to_owned(), contact);
 }
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -176,11 +176,12 @@
         any |= drop_instance(roster, name);
     }
     if delta.whole && delta.settled {
-        let lacks = |name: &String| !delta.servers.iter().any(|server| server.name == *name);
+        let listed = delta.servers.iter().map(|server| server.name.as_str());
+        let listed: HashSet<&str> = listed.collect();
         let older = roster
             .servers
             .iter()
-            .filter(|(name, known)| known.as_of_ms <= as_of_ms && lacks(name));
+            .filter(|(name, known)| known.as_of_ms <= as_of_ms && !listed.contains(name.as_str()));
         let names: Vec<String> = older.map(|(name, _)| name.clone()).collect();
         for name in names {
             any |= remove_server(roster, &name, as_of_ms);
--- a/crates/member/src/queries/roster.rs
+++ b/crates/member/src/queries/roster.rs
@@ -1,7 +1,8 @@
 //! Queries over the roster.
 
 use {
-    crate::{Delta, Roster, View},
+    crate::{roster::Known, Delta, Roster, View},
+    std::collections::HashMap,
     types::hash_of,
 };
 
@@ -81,19 +82,18 @@
 
 /// Indexes the roster; entries stand in order of their names, so that all instances see the same order.
 pub fn view(roster: &Roster) -> View {
-    let mut servers: Vec<_> = roster
-        .servers
-        .values()
-        .map(|known| known.value.clone())
-        .collect();
-    servers.sort_by(|left, right| left.name.cmp(&right.name));
-    let mut instances: Vec<_> = roster
-        .instances
-        .values()
-        .map(|known| known.value.clone())
-        .collect();
-    instances.sort_by(|left, right| left.name.cmp(&right.name));
-    View::new(roster.version, instances, servers)
+    let instances = in_order(&roster.instances);
+    View::new(roster.version, instances, in_order(&roster.servers))
+}
+
+fn in_order<Value>(entries: &HashMap<String, Known<Value>>) -> Vec<Value>
+where
+    Value: Clone,
+{
+    let mut entries: Vec<_> = entries.iter().collect();
+    entries.sort_by_key(|&(name, _)| name);
+    let values = entries.into_iter().map(|(_, known)| known.value.clone());
+    values.collect()
 }
 
 fn is_listed(roster: &Roster, name: &str, is_server: bool) -> bool {
--- a/crates/outlier/src/commands/standing.rs
+++ b/crates/outlier/src/commands/standing.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Health, Sensitivity},
-    types::ServerIndex,
+    types::{doubled_ms, ServerIndex},
 };
 
 /// Time for which a first ejection is renewed, in milliseconds; it doubles with each further one.
@@ -27,7 +27,7 @@
 /// Notes that an ejection of `server` is in force.
 pub fn begin_ejection(health: &mut Health, server: ServerIndex, now_ms: u64) {
     if let Some(entry) = health.servers.get_mut(server) {
-        let hold_ms = (HOLD_FIRST_MS << entry.ejection_count.min(6)).min(HOLD_MAX_MS);
+        let hold_ms = doubled_ms(HOLD_FIRST_MS, entry.ejection_count, HOLD_MAX_MS);
         entry.ejection_count += 1;
         entry.hold_until_ms = now_ms + hold_ms;
         entry.suspect = true;
