Sort a pool's usual times once for all its servers, and look at its permits once

Cause: with every permit given back, and every 25 ms, an owner recomputes what each server is expected to cost. For each server it copied and sorted the usual times of all others, and for each it walked all permits out. That work grows with the square of the pool, on the path of every request.

Change: `costs_permille` sorts the times once and takes the median of the others from it by position; `flight_ages_ms` sorts the permits by server in one walk. Two queries that nobody called are gone (`usual_us`, `peer_usual_us`). Choices are the same.

Tests of outlier, permit and emu pass.

--- a/crates/daemon/src/commands/pool_list.rs
+++ b/crates/daemon/src/commands/pool_list.rs
@@ -7,7 +7,7 @@
     },
     config::{queries::find_service, Detection},
     member::{queries::pool_servers, BackendServer, Presence, View},
-    outlier::{queries::cost_permille, Sensitivity, ServerHealth},
+    outlier::{queries::costs_permille, Sensitivity, ServerHealth},
     permit::{commands::list_server, Standing},
     std::collections::HashMap,
 };
@@ -52,8 +52,9 @@
 
 /// Recomputes every server's standing and cost from its evidence, its ejection and its notes.
 pub(crate) fn restand(state: &mut PoolState, now_ms: u64) {
+    let costs = costs_permille(&state.health, now_ms);
     for (index, server) in state.pool.servers.iter_mut() {
-        let Some(note) = state.notes.get(index) else {
+        let (Some(note), Some(&cost)) = (state.notes.get(index), costs.get(index)) else {
             continue;
         };
         let suspect = state
@@ -62,7 +63,7 @@
             .get(index)
             .is_some_and(|entry| entry.suspect);
         server.leaving = !note.listed || note.draining;
-        server.cost_permille = cost_permille(&state.health, index, now_ms);
+        server.cost_permille = cost;
         server.standing = match (note.ejected, suspect) {
             (true, _) => Standing::Ejected,
             (false, true) => Standing::Suspect,
--- a/crates/daemon/src/commands/pool_tick.rs
+++ b/crates/daemon/src/commands/pool_tick.rs
@@ -114,8 +114,7 @@
             now_ms,
         );
     }
-    for (server, _) in state.pool.servers.iter() {
-        let ages_ms = permit::queries::ages_ms(&state.pool, server, now_ms);
+    for (server, ages_ms) in permit::queries::flight_ages_ms(&state.pool, now_ms).iter() {
         let ages_us: Vec<f64> = ages_ms
             .iter()
             .map(|&age_ms| age_ms as f64 * 1_000.0)
--- a/crates/emu/src/commands/run.rs
+++ b/crates/emu/src/commands/run.rs
@@ -8,7 +8,7 @@
     fastrand::Rng,
     outlier::{
         commands::{observe, observe_flight},
-        queries::cost_permille,
+        queries::costs_permille,
         Evidence,
     },
     permit::{
@@ -140,9 +140,8 @@
 
 /// What the daemon's tick does for a pool, as far as it concerns choices.
 fn look(owner: &mut Owner, now_ms: u64) {
-    let servers: Vec<ServerIndex> = owner.pool.servers.iter().map(|(index, _)| index).collect();
-    for server in servers {
-        let ages_us: Vec<f64> = queries::ages_ms(&owner.pool, server, now_ms)
+    for (server, ages_ms) in queries::flight_ages_ms(&owner.pool, now_ms).iter() {
+        let ages_us: Vec<f64> = ages_ms
             .iter()
             .map(|&age_ms| age_ms as f64 * 1_000.0)
             .collect();
@@ -152,6 +151,7 @@
 }
 
 fn restand(owner: &mut Owner, now_ms: u64) {
+    let costs = costs_permille(&owner.health, now_ms);
     for (index, server) in owner.pool.servers.iter_mut() {
         let suspect = owner
             .health
@@ -163,7 +163,7 @@
         } else {
             Standing::Good
         };
-        server.cost_permille = cost_permille(&owner.health, index, now_ms);
+        server.cost_permille = costs.get(index).copied().unwrap_or_default();
     }
 }
 
--- a/crates/outlier/src/queries/belief.rs
+++ b/crates/outlier/src/queries/belief.rs
@@ -5,8 +5,8 @@
 //! its server is of that kind, and without news the odds fade towards the usual ones.
 
 use {
-    crate::{health::PRIOR_LOG_ODDS, queries, Health, ServerHealth},
-    types::ServerIndex,
+    crate::{health::PRIOR_LOG_ODDS, queries::UsualTimes, Health, ServerHealth},
+    types::{EntityMap, ServerIndex},
 };
 
 /// Time in which what is known of a server fades to a third, in milliseconds: failures of part of the work come
@@ -40,10 +40,22 @@
 
 /// Returns what a request given to the server is expected to cost, in thousandths of a lost request.
 pub fn cost_permille(health: &Health, server: ServerIndex, now_ms: u64) -> u32 {
-    let Some(entry) = health.servers.get(server) else {
-        return 1_000;
-    };
-    let slow = match queries::peer_usual_us(health, server) {
+    let entry = health.servers.get(server);
+    entry.map_or(1_000, |entry| cost(entry, &UsualTimes::new(health), now_ms))
+}
+
+/// Returns the same for every server of the pool.
+pub fn costs_permille(health: &Health, now_ms: u64) -> EntityMap<ServerIndex, u32> {
+    let times = UsualTimes::new(health);
+    let mut costs = EntityMap::new();
+    for (_, entry) in health.servers.iter() {
+        costs.push(cost(entry, &times, now_ms));
+    }
+    costs
+}
+
+fn cost(entry: &ServerHealth, times: &UsualTimes, now_ms: u64) -> u32 {
+    let slow = match times.of_peers(entry.usual_us) {
         Some(peers_us) if entry.usual_us > peers_us * SLOW_FROM => {
             ((entry.usual_us / peers_us - SLOW_FROM) * SLOW_COST).min(SLOW_COST_MAX)
         }
--- a/crates/outlier/src/queries/compare.rs
+++ b/crates/outlier/src/queries/compare.rs
@@ -67,21 +67,11 @@
     limit(health, LATE_FACTOR)
 }
 
-/// Returns the usual time to the first byte of the server's peers, in microseconds.
-pub fn peer_usual_us(health: &Health, server: ServerIndex) -> Option<f64> {
-    median_usual_us(health, Some(server))
-}
-
 /// Returns the time after which a request in flight is worth a second try, in microseconds.
 pub fn hedge_limit_us(health: &Health) -> Option<f64> {
     limit(health, HEDGE_FACTOR)
 }
 
-/// Returns the pool's usual time to the first byte, in microseconds.
-pub fn usual_us(health: &Health) -> Option<f64> {
-    median_usual_us(health, None)
-}
-
 fn limit(health: &Health, factor: f64) -> Option<f64> {
     known_tail_us(health).map(|tail_us| (tail_us * factor).max(LATE_LEAST_US))
 }
@@ -91,16 +81,28 @@
     (health.tail.count >= TAIL_COUNT_LEAST).then_some(health.tail.tail_us)
 }
 
-fn median_usual_us(health: &Health, except: Option<ServerIndex>) -> Option<f64> {
-    let mut times_us: Vec<f64> = health
-        .servers
-        .iter()
-        .filter(|(index, peer)| Some(*index) != except && peer.usual_us > 0.0)
-        .map(|(_, peer)| peer.usual_us)
-        .collect();
-    if times_us.is_empty() {
-        return None;
+/// Usual times to the first byte of a pool's servers, sorted once for a question about each of them.
+pub(crate) struct UsualTimes {
+    sorted_us: Vec<f64>,
+}
+
+impl UsualTimes {
+    /// Gathers the times of the servers that have one.
+    pub(crate) fn new(health: &Health) -> Self {
+        let times_us = health.servers.iter().map(|(_, entry)| entry.usual_us);
+        let mut sorted_us: Vec<f64> = times_us.filter(|&usual_us| usual_us > 0.0).collect();
+        sorted_us.sort_by(f64::total_cmp);
+        Self { sorted_us }
+    }
+
+    /// Returns the median of the others for a server whose own time is `own_us`, or 0 if it has none.
+    pub(crate) fn of_peers(&self, own_us: f64) -> Option<f64> {
+        let is_before = |usual_us: &f64| usual_us.total_cmp(&own_us).is_lt();
+        let own = (own_us > 0.0).then(|| self.sorted_us.partition_point(is_before));
+        let count = self.sorted_us.len() - usize::from(own.is_some());
+        let middle = count / 2;
+        let passes_own = own.is_some_and(|own| own <= middle);
+        let found = self.sorted_us.get(middle + usize::from(passes_own));
+        found.copied().filter(|_| count > 0)
     }
-    times_us.sort_by(f64::total_cmp);
-    Some(times_us[times_us.len() / 2])
 }
--- a/crates/outlier/tests/detection.rs
+++ b/crates/outlier/tests/detection.rs
@@ -5,7 +5,7 @@
         commands::{
             adopt, begin_ejection, end_ejection, observe, observe_flight, plan_trials, Heard,
         },
-        queries::{cost_permille, judge, proved_slots, stands_out},
+        queries::{cost_permille, costs_permille, judge, proved_slots, stands_out},
         Evidence, Health, Opinion, Sensitivity, ServerHealth,
     },
     quickcheck::quickcheck,
@@ -279,3 +279,22 @@
         })
     }
 }
+
+/// What a server costs beside its chance of failing depends on the median of the others' usual times.
+#[test]
+fn costs_permille_slow_server() {
+    let mut health = Health::new();
+    for usual_us in [25_000.0, 100_000.0, 10_000.0, 20_000.0] {
+        let entry = ServerHealth {
+            usual_us,
+            ..ServerHealth::default()
+        };
+        health.servers.push(entry);
+    }
+    let costs = costs_permille(&health, 0);
+    let costs: Vec<u32> = costs.iter().map(|(_, cost)| *cost).collect();
+    // One in five fails anyhow; five times the others' 20 ms is 3.6 usual times too many, at 12 % each.
+    assert_eq!(costs, [200, 545, 200, 200]);
+    let alone = ServerIndex::from(1);
+    assert_eq!(cost_permille(&health, alone, 0), 545);
+}
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -5,7 +5,7 @@
         budget::Count, Budget, Choice, Pool, Recent, Refusal, Server, Spread, Standing, Waiter,
         Wish,
     },
-    types::ServerIndex,
+    types::{EntityMap, ServerIndex},
 };
 
 /// Mean service times that a request is given to finish in: three in four need less. Work that would be given up
@@ -187,13 +187,19 @@
     pool.queue.iter().map(|waiter| waiter.ticket)
 }
 
-/// Returns the ages of the permits of `server` that are not overdue yet, in milliseconds.
-pub fn ages_ms(pool: &Pool, server: ServerIndex, now_ms: u64) -> Vec<u64> {
-    pool.permits
-        .values()
-        .filter(|permit| permit.server == server && !permit.overdue)
-        .map(|permit| now_ms.saturating_sub(permit.granted_ms))
-        .collect()
+/// Returns the ages of each server's permits that are not overdue yet, in milliseconds.
+pub fn flight_ages_ms(pool: &Pool, now_ms: u64) -> EntityMap<ServerIndex, Vec<u64>> {
+    let mut ages_ms = EntityMap::new();
+    for _ in pool.servers.iter() {
+        ages_ms.push(Vec::new());
+    }
+    for permit in pool.permits.values().filter(|permit| !permit.overdue) {
+        let ages_ms: Option<&mut Vec<u64>> = ages_ms.get_mut(permit.server);
+        if let Some(ages_ms) = ages_ms {
+            ages_ms.push(now_ms.saturating_sub(permit.granted_ms));
+        }
+    }
+    ages_ms
 }
 
 /// Counts the permits out.
