Give what a pool's owner decides a crate of its own, and let the emulator use it

Cause: the daemon was the largest room, and half of what it held about pools were decisions: who gets a slot, who waits, what an outcome says of its server, what a successor is told. The emulator had its own copies of the standing of servers, of the look at requests in flight and of what an outcome does, which could drift from what instances do.

Ruled out: a daemon module, since the emulator can't depend on the daemon; generated message types in the crate, since decisions stay apart from the encoding of messages.

Change: `crates/owner` (state, sharded pools, commands list, take, give, look, adopt, queries knowledge and eject) with types of its own; the daemon translates messages, reads the clock and logs. The emulator's pool is an `owner::PoolState`. The time of a route's target travelled from plan to permit ask to wish, and nobody read it: it is gone from there, and from the message.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -111,7 +111,6 @@
     let mut unheard = Unheard::new(node, owner, &message);
     loop {
         message.remaining_ms = left_ms(ask.deadline);
-        message.target_ms = ask.target.map_or(0, left_ms);
         let answer = if owner.name == node.settings.instance {
             pool_take::take(node, &message).await
         } else {
@@ -196,7 +195,6 @@
         data_centre: node.settings.data_centre.clone(),
         entry: node.settings.instance.clone(),
         remaining_ms: left_ms(ask.deadline),
-        target_ms: ask.target.map_or(0, left_ms),
         priority: ask.priority,
         body_bytes: ask.body_bytes,
         sent: ask.sent,
--- a/crates/daemon/src/commands/eject.rs
+++ b/crates/daemon/src/commands/eject.rs
@@ -8,18 +8,16 @@
         commands::{
             fold_ejections::{ejection_stream, with_fold},
             peers::call,
-            pool_tick::proved,
             probe,
         },
-        owner::PoolState,
         queries::willing_owners,
         Node,
     },
     member::queries::pool_areas,
-    outlier::{
-        commands::{begin_ejection, end_ejection},
-        queries::{self, judge},
-        Opinion, Record, RecordKind, EJECTION_TTL_MS,
+    outlier::{queries, Record, RecordKind, EJECTION_TTL_MS},
+    owner::{
+        queries::{ejection_due, proved_slots},
+        PoolState,
     },
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
     stream::commands::append,
@@ -66,21 +64,6 @@
     obeyed
 }
 
-/// Applies the obeyed ejections to a pool and notes which began or ended.
-pub(crate) fn apply_obeyed(state: &mut PoolState, obeyed: &[String], now_ms: u64) {
-    let sensitivity = state.sensitivity;
-    for (index, note) in state.notes.iter_mut() {
-        let name = state.pool.names.name(index);
-        let ejected = obeyed.iter().any(|other| other == name);
-        if ejected && !note.ejected {
-            begin_ejection(&mut state.health, index, now_ms);
-        } else if !ejected && note.ejected {
-            end_ejection(&mut state.health, index, sensitivity, now_ms);
-        }
-        note.ejected = ejected;
-    }
-}
-
 /// Looks at all pools and starts what is due.
 pub(crate) fn look(node: &Arc<Node>) {
     let now_ms = node.now_ms();
@@ -95,7 +78,7 @@
 fn gather(state: &mut PoolState, now_ms: u64, cases: &mut Vec<Case>) {
     let servers: Vec<ServerIndex> = state.pool.servers.iter().map(|(index, _)| index).collect();
     for index in servers {
-        let Some(kind) = due(state, index, now_ms) else {
+        let Some(kind) = ejection_due(state, index, now_ms) else {
             continue;
         };
         if let Some(note) = state.notes.get_mut(index) {
@@ -117,24 +100,6 @@
     }
 }
 
-fn due(state: &PoolState, index: ServerIndex, now_ms: u64) -> Option<RecordKind> {
-    let note = state.notes.get(index)?;
-    let entry = state.health.servers.get(index)?;
-    if now_ms < note.proposed_until_ms || !note.listed {
-        return None;
-    }
-    if note.ejected {
-        let hold = now_ms < entry.hold_until_ms;
-        return Some(if hold {
-            RecordKind::Renew
-        } else {
-            RecordKind::Return
-        });
-    }
-    let opinion = judge(&state.health, index, state.sensitivity, now_ms);
-    (opinion == Opinion::Eject).then_some(RecordKind::Eject)
-}
-
 async fn handle(node: &Arc<Node>, case: Case) {
     let others = others_of_service(node, &case).await;
     let kind = match case.kind {
@@ -265,7 +230,7 @@
     let shares = queries::worked_shares(&state.health, except);
     let mean = shares.iter().sum::<f64>() / (shares.len().max(1)) as f64;
     ProvedAnswer {
-        proved_slots: proved(state, now_ms, out),
+        proved_slots: proved_slots(state, now_ms, out),
         servers: shares.len() as u32,
         bad_permille: (mean * 1_000.0) as u32,
     }
--- a/crates/daemon/src/commands/hand_over.rs
+++ b/crates/daemon/src/commands/hand_over.rs
@@ -5,25 +5,15 @@
 
 use {
     crate::{
-        commands::{
-            peers::call,
-            pool_list::{open_pool, restand},
-        },
-        owner::PoolState,
+        commands::{peers::call, pool_list::open_pool},
         queries::willing_owners,
         Node,
     },
     futures_util::future::join_all,
     log::info,
     member::{queries::owner_order, Instance},
-    outlier::{
-        commands::{adopt, adopt_tail, Heard},
-        Tail,
-    },
-    permit::{
-        commands,
-        queries::{counts, service_us},
-    },
+    outlier::{commands::Heard, Tail},
+    owner::{commands::adopt, queries::knowledge, Knowledge, KnownServer, PoolState},
     serde_json::json,
     std::sync::Arc,
     wire::generated::{PoolAsk, PoolEvidence, ServerEvidence},
@@ -35,8 +25,6 @@
 const ASK_TIMEOUT_MS: u64 = 60;
 /// Time allowed for telling a successor, in milliseconds.
 const TELL_TIMEOUT_MS: u64 = 500;
-/// Age from which evidence is not handed on, in milliseconds; it has faded by then.
-const OLD_MS: u64 = 30_000;
 
 /// Asks others what they know of a pool that was just opened here.
 pub(crate) async fn ask_others(node: &Arc<Node>, service: &str, area: &str) {
@@ -91,7 +79,7 @@
     let found = node.owner.with(id, |pools| {
         pools.get(&id).map(|state| evidence(state, now_ms))
     });
-    found.unwrap_or_else(|| nothing(&ask.service, &ask.area))
+    found.unwrap_or_else(|| evidence_of(&ask.service, &ask.area, &Knowledge::default()))
 }
 
 /// Takes over what another instance knows of a pool, opening it if need be.
@@ -100,75 +88,56 @@
     let now_ms = node.now_ms();
     node.owner.with(id, |pools| {
         let state = open_pool(node, pools, id, &evidence.service, &evidence.area, now_ms);
-        adopt_evidence(state, evidence, node.settings.retry_window_ms, now_ms);
+        let known = known_of(evidence);
+        adopt(state, &known, node.settings.retry_window_ms, now_ms);
     });
     node.pool_opened.notify_one();
 }
 
-fn adopt_evidence(state: &mut PoolState, evidence: &PoolEvidence, window_ms: u64, now_ms: u64) {
-    for server in &evidence.servers {
-        let Some(index) = state.pool.names.find(&server.server) else {
-            continue;
-        };
-        let same = state
-            .notes
-            .get(index)
-            .is_some_and(|note| note.born_ms == server.born_ms);
-        if same {
-            let heard = Heard {
-                belief: server.belief_milli as f64 / 1_000.0,
-                age_ms: server.age_ms,
-                usual_us: server.usual_us as f64,
-                whole_count: server.whole_count,
-            };
-            adopt(&mut state.health, index, heard, now_ms);
-        }
+fn known_of(text: &PoolEvidence) -> Knowledge {
+    let servers = text.servers.iter().map(|server| KnownServer {
+        name: server.server.clone(),
+        born_ms: server.born_ms,
+        heard: Heard {
+            belief: server.belief_milli as f64 / 1_000.0,
+            age_ms: server.age_ms,
+            usual_us: server.usual_us as f64,
+            whole_count: server.whole_count,
+        },
+    });
+    Knowledge {
+        tail: Tail {
+            tail_us: text.tail_us as f64,
+            count: text.tail_count,
+        },
+        service_us: text.service_us as f64,
+        requests: text.requests,
+        retries: text.retries,
+        servers: servers.collect(),
     }
-    let tail = Tail {
-        tail_us: evidence.tail_us as f64,
-        count: evidence.tail_count,
-    };
-    adopt_tail(&mut state.health, tail);
-    commands::adopt_service_time(&mut state.pool, evidence.service_us as f64);
-    let (requests, retries) = (evidence.requests, evidence.retries);
-    commands::adopt_counts(&mut state.budget, window_ms, requests, retries, now_ms);
-    restand(state, now_ms);
 }
 
 fn evidence(state: &PoolState, now_ms: u64) -> PoolEvidence {
-    let (requests, retries) = counts(&state.budget);
-    let servers = state.health.servers.iter().filter_map(|(index, entry)| {
-        let note = state.notes.get(index).filter(|note| note.listed)?;
-        let age_ms = now_ms.saturating_sub(entry.belief_ms);
-        (entry.whole_count > 0 && age_ms < OLD_MS).then(|| ServerEvidence {
-            server: state.pool.names.name(index).to_owned(),
-            born_ms: note.born_ms,
-            belief_milli: (entry.belief * 1_000.0) as i64,
-            age_ms,
-            usual_us: entry.usual_us as u64,
-            whole_count: entry.whole_count,
-        })
-    });
-    PoolEvidence {
-        tail_us: state.health.tail.tail_us as u64,
-        tail_count: state.health.tail.count,
-        service_us: service_us(&state.pool) as u64,
-        requests,
-        retries,
-        servers: servers.collect(),
-        ..nothing(&state.service, &state.area)
-    }
+    evidence_of(&state.service, &state.area, &knowledge(state, now_ms))
 }
 
-fn nothing(service: &str, area: &str) -> PoolEvidence {
+fn evidence_of(service: &str, area: &str, known: &Knowledge) -> PoolEvidence {
+    let servers = known.servers.iter().map(|server| ServerEvidence {
+        server: server.name.clone(),
+        born_ms: server.born_ms,
+        belief_milli: (server.heard.belief * 1_000.0) as i64,
+        age_ms: server.heard.age_ms,
+        usual_us: server.heard.usual_us as u64,
+        whole_count: server.heard.whole_count,
+    });
     PoolEvidence {
         service: service.to_owned(),
         area: area.to_owned(),
-        tail_us: 0,
-        tail_count: 0,
-        service_us: 0,
-        requests: 0,
-        retries: 0,
-        servers: Vec::new(),
+        tail_us: known.tail.tail_us as u64,
+        tail_count: known.tail.count,
+        service_us: known.service_us as u64,
+        requests: known.requests,
+        retries: known.retries,
+        servers: servers.collect(),
     }
 }
--- a/crates/daemon/src/commands/pool_list.rs
+++ b/crates/daemon/src/commands/pool_list.rs
@@ -1,22 +1,16 @@
 //! Brings a pool in line with the platform's list and the configuration in force.
 
 use {
-    crate::{
-        owner::{Note, PoolId, PoolState},
-        Node,
+    crate::Node,
+    config::queries::find_service,
+    member::View,
+    owner::{
+        commands::{apply_service, list},
+        PoolId, PoolState,
     },
-    config::{queries::find_service, Detection},
-    member::{queries::pool_servers, BackendServer, Presence, View},
-    outlier::{queries::costs_permille, Sensitivity, ServerHealth},
-    permit::{commands::list_server, Standing},
     std::collections::HashMap,
 };
 
-/// Age from which a pool treats a server that it has not seen before as cold, in milliseconds.
-const WARM_POOL_MS: u64 = 5_000;
-/// Slots that a cold server starts with.
-const COLD_SLOTS: u32 = 1;
-
 /// Returns the pool of that id, opened and listed if it was not yet.
 pub(crate) fn open_pool<'a>(
     node: &Node,
@@ -33,96 +27,12 @@
     })
 }
 
-/// Brings `state` in line with `view`, unless it is already.
+/// Brings `state` in line with `view` and the configuration, unless it is already.
 pub(crate) fn list_pool(node: &Node, state: &mut PoolState, view: &View, now_ms: u64) {
-    apply_service(node, state);
-    if state.listed_version == view.version {
-        return;
-    }
-    state.listed_version = view.version;
-    for (_, note) in state.notes.iter_mut() {
-        note.listed = false;
-    }
-    let (service, area) = (state.service.clone(), state.area.clone());
-    for server in pool_servers(view, &service, &area) {
-        list_one(state, server, now_ms);
-    }
-    restand(state, now_ms);
-}
-
-/// Recomputes every server's standing and cost from its evidence, its ejection and its notes.
-pub(crate) fn restand(state: &mut PoolState, now_ms: u64) {
-    let costs = costs_permille(&state.health, now_ms);
-    for (index, server) in state.pool.servers.iter_mut() {
-        let (Some(note), Some(&cost)) = (state.notes.get(index), costs.get(index)) else {
-            continue;
-        };
-        let suspect = state
-            .health
-            .servers
-            .get(index)
-            .is_some_and(|entry| entry.suspect);
-        server.leaving = !note.listed || note.draining;
-        server.cost_permille = cost;
-        server.standing = match (note.ejected, suspect) {
-            (true, _) => Standing::Ejected,
-            (false, true) => Standing::Suspect,
-            (false, false) => Standing::Good,
-        };
-    }
-}
-
-fn apply_service(node: &Node, state: &mut PoolState) {
-    let current = node.current.load();
-    let Some(in_force) = current.as_deref() else {
-        return;
-    };
-    let accepted = &in_force.accepted;
-    if state.config_version == accepted.version {
-        return;
-    }
-    state.config_version = accepted.version;
-    if let Some(service) = find_service(&accepted.document, &in_force.lookup, &state.service) {
-        state.floor_slots = service.floor_slots;
-        state.sensitivity = match service.detection {
-            Detection::Fast => Sensitivity::fast(),
-            Detection::Careful => Sensitivity::careful(),
-        };
-    }
-}
-
-fn list_one(state: &mut PoolState, server: &BackendServer, now_ms: u64) {
-    let (index, is_new) = list_server(
-        &mut state.pool,
-        &server.name,
-        server.address,
-        &server.data_centre,
-        server.slots,
-    );
-    if is_new {
-        state.health.servers.push(ServerHealth::new(now_ms));
-        state.notes.push(Note::new(server.born_ms));
-    }
-    let Some(note) = state.notes.get_mut(index) else {
-        return;
-    };
-    note.listed = server.presence == Presence::Live;
-    let is_reborn = note.born_ms != server.born_ms;
-    if is_reborn {
-        // A server that started again under its name holds nothing of before.
-        *note = Note {
-            listed: note.listed,
-            logged: note.logged,
-            ..Note::new(server.born_ms)
-        };
-        if let Some(entry) = state.health.servers.get_mut(index) {
-            *entry = ServerHealth::new(now_ms);
-        }
-    }
-    let warm = server.cold_ms == 0 && now_ms.saturating_sub(state.created_ms) < WARM_POOL_MS;
-    if let Some(entry) = state.pool.servers.get_mut(index) {
-        if (is_new || is_reborn) && !warm {
-            entry.open_slots = COLD_SLOTS.min(entry.slots);
-        }
+    if let Some(in_force) = node.current.load().as_deref() {
+        let accepted = &in_force.accepted;
+        let service = find_service(&accepted.document, &in_force.lookup, &state.service);
+        apply_service(state, accepted.version, service);
     }
+    list(state, view, now_ms);
 }
--- a/crates/daemon/src/commands/pool_tick.rs
+++ b/crates/daemon/src/commands/pool_tick.rs
@@ -2,27 +2,16 @@
 
 use {
     crate::{
-        commands::{
-            eject,
-            fold_ejections::forget_unowned,
-            pool_list::{list_pool, restand},
-            probe,
-        },
-        owner::PoolState,
+        commands::{eject, fold_ejections::forget_unowned, pool_list::list_pool, probe},
         Node,
     },
     log::info,
-    outlier::{
-        commands::{observe, observe_flight, plan_trials},
-        queries::{self, late_limit_us},
-        Evidence,
-    },
-    permit::{commands, Standing},
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
-        time::Duration,
+    owner::{
+        commands::{look, take_changes},
+        PoolState,
     },
+    permit::Standing,
+    std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::time::{interval, MissedTickBehavior},
     types::ServerIndex,
     wire::{generated::PlacementDecision, to_text},
@@ -34,9 +23,6 @@
 const EJECT_TICKS: u64 = 8;
 /// Ticks between readings of the load endpoints, and between reports to the metrics.
 const REPORT_TICKS: u64 = 40;
-/// Multiple of the late limit from which a request in flight is overdue; leaves the entry time to try a
-/// new connection first.
-const OVERDUE_FACTOR: f64 = 1.25;
 /// Time without an ask after which a pool is dropped, in milliseconds.
 const IDLE_POOL_MS: u64 = 60_000;
 
@@ -76,69 +62,21 @@
         .retain(|state| now_ms.saturating_sub(state.asked_ms) < IDLE_POOL_MS);
     node.owner.each(|state| {
         list_pool(node, state, &view, now_ms);
-        commands::expire(&mut state.pool, now_ms);
-        commands::drop_silent_waiters(&mut state.pool, now_ms);
-        drop_waiters(state);
-        find_overdue(state, now_ms);
-        for server in plan_trials(&mut state.health, now_ms) {
-            if let Some(entry) = state.pool.servers.get_mut(server) {
-                entry.trial_due = true;
-            }
-        }
         let names = obeyed.get(&state.service).map_or(&[][..], Vec::as_slice);
-        eject::apply_obeyed(state, names, now_ms);
-        restand(state, now_ms);
+        look(state, names, now_ms);
         announce(node, state);
         state.wake_first(now_ms);
     });
 }
 
-fn drop_waiters(state: &mut PoolState) {
-    let tickets: HashSet<u64> = permit::queries::tickets(&state.pool).collect();
-    state.waiters.retain(|ticket, _| tickets.contains(ticket));
-}
-
-/// Holds old requests in flight against their servers: overdue ones once and for all, others while they last.
-fn find_overdue(state: &mut PoolState, now_ms: u64) {
-    let Some(limit_us) = late_limit_us(&state.health) else {
-        return;
-    };
-    let sensitivity = state.sensitivity;
-    let limit_ms = (limit_us * OVERDUE_FACTOR / 1_000.0) as u64;
-    for server in commands::mark_overdue(&mut state.pool, now_ms, limit_ms) {
-        observe(
-            &mut state.health,
-            server,
-            Evidence::Overdue,
-            sensitivity,
-            now_ms,
-        );
-    }
-    for (server, ages_ms) in permit::queries::flight_ages_ms(&state.pool, now_ms).iter() {
-        let ages_us: Vec<f64> = ages_ms
-            .iter()
-            .map(|&age_ms| age_ms as f64 * 1_000.0)
-            .collect();
-        observe_flight(&mut state.health, server, &ages_us, now_ms);
-    }
-}
-
 /// Logs each server whose standing changed since it was last logged.
 fn announce(node: &Node, state: &mut PoolState) {
-    let mut changes = Vec::new();
-    for (index, server) in state.pool.servers.iter() {
-        let now = (server.standing, server.leaving);
-        if let Some(note) = state.notes.get_mut(index).filter(|note| note.logged != now) {
-            changes.push((index, note.logged.0, now));
-            note.logged = now;
-        }
-    }
-    for (index, earlier, now) in changes {
-        if now.0 == Standing::Suspect && earlier == Standing::Good {
+    for change in take_changes(state) {
+        if change.now.0 == Standing::Suspect && change.earlier == Standing::Good {
             let service = state.service.as_str();
             node.metrics.suspects.with_label_values(&[service]).inc();
         }
-        log_standing(state, index, now);
+        log_standing(state, change.server, change.now);
     }
 }
 
@@ -183,19 +121,3 @@
         .log_age
         .set(crate::queries::log_age_ms(node) as i64);
 }
-
-/// Returns the slots of a pool that are proved healthy and not counted as ejected.
-pub(crate) fn proved(state: &PoolState, now_ms: u64, counted: &[String]) -> u32 {
-    queries::proved_slots(&state.health.servers, now_ms, |server| {
-        let name = state.pool.names.name(server);
-        let usable = state
-            .pool
-            .servers
-            .get(server)
-            .filter(|entry| !entry.leaving);
-        match usable {
-            Some(entry) if !counted.iter().any(|other| other == name) => entry.slots,
-            _ => 0,
-        }
-    })
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod commands;
 mod metrics;
 mod node;
-mod owner;
 pub mod queries;
 mod settings;
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,7 +4,7 @@
 //! in force) is an immutable value that is swapped whole.
 
 use {
-    crate::{metrics::Metrics, owner::Owner, Settings},
+    crate::{metrics::Metrics, Settings},
     arc_swap::{ArcSwap, ArcSwapOption},
     claim::{Answers, Table},
     config::{Accepted, Lookup, State, Verdict},
@@ -13,6 +13,7 @@
     jsonrpsee::ws_client::WsClient,
     member::{Contacts, View},
     outlier::Ejections,
+    owner::Pools,
     std::{
         collections::{HashMap, VecDeque},
         sync::{
@@ -117,7 +118,8 @@
     pub(crate) answers: Shards<Answers<StoredAnswer>>,
     pub(crate) answers_changed: watch::Sender<u64>,
     pub(crate) local: Shards<HashMap<String, LocalServer>>,
-    pub(crate) owner: Owner,
+    /// Pools that this node owns or owned until lately.
+    pub(crate) owner: Pools,
     pub(crate) metrics: Metrics,
 }
 
@@ -158,7 +160,7 @@
             answers: Shards::new(SHARD_COUNT),
             answers_changed: watch::channel(0).0,
             local: Shards::new(SHARD_COUNT),
-            owner: Owner::new(SHARD_COUNT),
+            owner: Pools::new(SHARD_COUNT),
             metrics: Metrics::new()?,
             platform,
             settings,
--- a/crates/daemon/src/queries/status.rs
+++ b/crates/daemon/src/queries/status.rs
@@ -1,7 +1,8 @@
 //! What a person wants to know of a node: what is out of service and why.
 
 use {
-    crate::{owner::PoolState, Node, Stage},
+    crate::{Node, Stage},
+    owner::PoolState,
     permit::Standing,
     std::sync::atomic::Ordering,
     types::ServerIndex,
--- a/crates/emu/src/commands/run.rs
+++ b/crates/emu/src/commands/run.rs
@@ -6,13 +6,13 @@
         Figures, Load, Outcome, Policy,
     },
     fastrand::Rng,
-    outlier::{
-        commands::{observe, observe_flight},
-        queries::costs_permille,
-        Evidence,
+    outlier::Evidence,
+    owner::{
+        commands::{observe_flights, restand, take_back},
+        Back,
     },
     permit::{
-        commands::{give_back, note_request, spend, take},
+        commands::{note_request, spend, take},
         queries, Standing, Wish,
     },
     std::{cmp::Reverse, collections::BinaryHeap},
@@ -118,13 +118,13 @@
         tried: Vec::new(),
     };
     let owner = emulation.rng.usize(..emulation.owners.len());
-    let state = &mut emulation.owners[owner];
-    let ahead = state.waiting.len();
-    if ahead > 0 && !queries::fits_deadline(&state.pool, ahead, now_ms, request.deadline_ms) {
+    let owned = &mut emulation.owners[owner];
+    let ahead = owned.waiting.len();
+    if ahead > 0 && !queries::fits_deadline(&owned.state.pool, ahead, now_ms, request.deadline_ms) {
         let refused = (request.came_ms, Outcome::Refused);
         return emulation.figures.outcomes.push(refused);
     }
-    state.waiting.push_back(request);
+    owned.waiting.push_back(request);
     serve_waiting(emulation, load, owner, now_ms);
 }
 
@@ -140,43 +140,21 @@
 
 /// What the daemon's tick does for a pool, as far as it concerns choices.
 fn look(owner: &mut Owner, now_ms: u64) {
-    for (server, ages_ms) in queries::flight_ages_ms(&owner.pool, now_ms).iter() {
-        let ages_us: Vec<f64> = ages_ms
-            .iter()
-            .map(|&age_ms| age_ms as f64 * 1_000.0)
-            .collect();
-        observe_flight(&mut owner.health, server, &ages_us, now_ms);
-    }
-    restand(owner, now_ms);
-}
-
-fn restand(owner: &mut Owner, now_ms: u64) {
-    let costs = costs_permille(&owner.health, now_ms);
-    for (index, server) in owner.pool.servers.iter_mut() {
-        let suspect = owner
-            .health
-            .servers
-            .get(index)
-            .is_some_and(|entry| entry.suspect);
-        server.standing = if suspect {
-            Standing::Suspect
-        } else {
-            Standing::Good
-        };
-        server.cost_permille = costs.get(index).copied().unwrap_or_default();
-    }
+    observe_flights(&mut owner.state, now_ms);
+    restand(&mut owner.state, now_ms);
 }
 
 /// Gives slots to the waiters in their order, and refuses those that can't finish.
 fn serve_waiting(emulation: &mut Emulation, load: &Load, owner: usize, now_ms: u64) {
     while let Some(request) = emulation.owners[owner].waiting.front().cloned() {
-        let state = &mut emulation.owners[owner];
+        let owned = &mut emulation.owners[owner];
         let is_late = now_ms >= request.deadline_ms
-            || !queries::fits_deadline(&state.pool, 0, now_ms, request.deadline_ms);
+            || !queries::fits_deadline(&owned.state.pool, 0, now_ms, request.deadline_ms);
         let is_retry = request.sent > 0;
-        let may_run = !is_retry || queries::may_retry(&state.budget, RETRY_PERCENT, RETRY_SLACK);
+        let may_run =
+            !is_retry || queries::may_retry(&owned.state.budget, RETRY_PERCENT, RETRY_SLACK);
         if is_late || !may_run {
-            state.waiting.pop_front();
+            owned.waiting.pop_front();
             let outcome = if is_retry {
                 Outcome::Failed
             } else {
@@ -185,16 +163,22 @@
             emulation.figures.outcomes.push((request.came_ms, outcome));
             continue;
         }
-        let wish = wish(state, &emulation.policy, &request, now_ms);
+        let wish = wish(owned, &emulation.policy, &request, now_ms);
         let spread = emulation.policy.spread;
-        let picked = queries::pick(&state.pool, &state.recent, &wish, &spread, now_ms);
+        let picked = queries::pick(
+            &owned.state.pool,
+            &owned.state.recent,
+            &wish,
+            &spread,
+            now_ms,
+        );
         let Ok(choice) = picked else {
             return;
         };
-        state.waiting.pop_front();
+        owned.waiting.pop_front();
         if is_retry {
             spend(
-                &mut state.budget,
+                &mut owned.state.budget,
                 RETRY_WINDOW_MS,
                 RETRY_PERCENT,
                 RETRY_SLACK,
@@ -202,9 +186,15 @@
             );
             emulation.figures.retries += 1;
         } else {
-            note_request(&mut state.budget, RETRY_WINDOW_MS, now_ms);
+            note_request(&mut owned.state.budget, RETRY_WINDOW_MS, now_ms);
         }
-        let permit = take(&mut state.pool, choice, 0, now_ms, request.deadline_ms);
+        let permit = take(
+            &mut owned.state.pool,
+            choice,
+            0,
+            now_ms,
+            request.deadline_ms,
+        );
         start(
             emulation,
             load,
@@ -219,7 +209,7 @@
 
 fn wish(owner: &mut Owner, policy: &Policy, request: &Request, now_ms: u64) -> Wish {
     if !policy.weighs_evidence {
-        for (_, server) in owner.pool.servers.iter_mut() {
+        for (_, server) in owner.state.pool.servers.iter_mut() {
             server.standing = Standing::Good;
             server.cost_permille = 0;
         }
@@ -228,7 +218,7 @@
         idempotent: request.is_safe,
         deadline_ms: request.deadline_ms,
         spurns_suspects: policy.spurns
-            && queries::good_ones_suffice(&owner.pool, owner.waiting.len()),
+            && queries::good_ones_suffice(&owner.state.pool, owner.waiting.len()),
         neglected_before_ms: now_ms.saturating_sub(NEGLECT_MS),
         exclude: request.tried.clone(),
         ..Wish::default()
@@ -335,18 +325,14 @@
     whole_us: Option<u64>,
     now_ms: u64,
 ) {
-    give_back(&mut owner.pool, permit, whole_us);
-    observe(
-        &mut owner.health,
-        server,
+    let name = owner.state.pool.names.name(server).to_owned();
+    let back = Back {
+        permit: Some(permit),
+        ask: 0,
+        server: &name,
         evidence,
-        owner.sensitivity,
-        now_ms,
-    );
-    match evidence {
-        Evidence::Whole { .. } => owner.recent.note(false, now_ms),
-        Evidence::Failed => owner.recent.note(true, now_ms),
-        _ => {}
-    }
-    restand(owner, now_ms);
+        whole_us,
+        is_leaving: false,
+    };
+    take_back(&mut owner.state, &back, now_ms);
 }
--- a/crates/emu/src/state.rs
+++ b/crates/emu/src/state.rs
@@ -2,9 +2,14 @@
 
 use {
     crate::Policy,
+    config::{Detection, Service},
     fastrand::Rng,
-    outlier::{Evidence, Health, Sensitivity, ServerHealth},
-    permit::{commands::list_server, Budget, Pool, Recent},
+    member::{BackendServer, View},
+    outlier::Evidence,
+    owner::{
+        commands::{apply_service, list},
+        PoolState,
+    },
     std::{
         cmp::Reverse,
         collections::{BinaryHeap, VecDeque},
@@ -13,6 +18,11 @@
     types::{PermitId, ServerIndex},
 };
 
+/// Name of the pool's service, and of its area.
+const SERVICE: &str = "orders";
+/// See [`SERVICE`].
+const AREA: &str = "dc";
+
 /// How one request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -87,33 +97,36 @@
     }
 }
 
-/// One owner's view of the pool.
-#[derive(Debug)]
+/// One owner with the requests that wait at it.
 pub(crate) struct Owner {
-    pub(crate) pool: Pool,
-    pub(crate) health: Health,
-    pub(crate) recent: Recent,
-    pub(crate) budget: Budget,
-    pub(crate) sensitivity: Sensitivity,
+    pub(crate) state: PoolState,
     pub(crate) waiting: VecDeque<Request>,
 }
 
 impl Owner {
     pub(crate) fn new(servers: usize, slots: u32, now_ms: u64) -> Self {
-        let mut owner = Self {
-            pool: Pool::new(),
-            health: Health::new(),
-            recent: Recent::default(),
-            budget: Budget::new(),
-            sensitivity: Sensitivity::fast(),
-            waiting: VecDeque::new(),
+        let mut state = PoolState::new(SERVICE, AREA, now_ms);
+        let address = SocketAddr::from(([10, 0, 0, 1], 1));
+        let server = |number| {
+            let name = format!("b{number}");
+            BackendServer::new(&name, SERVICE, AREA, address, slots)
+        };
+        let servers = (0..servers).map(server).collect();
+        let service = Service {
+            name: SERVICE.to_owned(),
+            detection: Detection::Fast,
+            floor_slots: 0,
+            deadline_ms: 0,
+            retry_percent: 0,
+            max_body_bytes: 0,
+            hold_bytes: 0,
         };
-        for number in 0..servers {
-            let address = SocketAddr::from(([10, 0, 0, 1], 1));
-            list_server(&mut owner.pool, &format!("b{number}"), address, "dc", slots);
-            owner.health.servers.push(ServerHealth::new(now_ms));
+        apply_service(&mut state, 1, Some(&service));
+        list(&mut state, &View::new(1, Vec::new(), servers), now_ms);
+        Self {
+            state,
+            waiting: VecDeque::new(),
         }
-        owner
     }
 }
 
--- a/crates/entry/src/commands/attempts.rs
+++ b/crates/entry/src/commands/attempts.rs
@@ -120,7 +120,6 @@
             service: plan.service.clone(),
             idempotent: plan.idempotent,
             deadline: plan.deadline,
-            target: plan.target,
             priority: plan.priority,
             body_bytes: self.job.body.held_bytes(),
             sent: self.sent,
--- a/crates/entry/src/plan.rs
+++ b/crates/entry/src/plan.rs
@@ -69,8 +69,6 @@
     pub key: Option<KeyPlan>,
     /// When its answer must be whole.
     pub deadline: Instant,
-    /// Until when its answer has its full worth, if its route has a target.
-    pub target: Option<Instant>,
     /// Rank when slots are short; 0 is the most urgent.
     pub priority: u32,
     /// Most backend servers that it is given to.
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -39,8 +39,6 @@
     pub idempotent: bool,
     /// When the request must be finished.
     pub deadline: Instant,
-    /// Until when its answer has its full worth, if it has a target.
-    pub target: Option<Instant>,
     /// Rank when slots are short; 0 is the most urgent.
     pub priority: u32,
     /// Size of the request's body, in bytes.
--- a/crates/entry/src/queries/classify.rs
+++ b/crates/entry/src/queries/classify.rs
@@ -60,14 +60,12 @@
         key(incoming, names, &service.name)?
     };
     let received = incoming.received;
-    let target = route.target_ms.map(Duration::from_millis);
     Ok(Plan {
         request_id,
         service: service.name.clone(),
         idempotent,
         key,
         deadline: deadline(&incoming.head.headers, names, service, route, received)?,
-        target: target.map(|target| received + target),
         priority: route.priority,
         attempts_max: route.attempts_max,
         received,
--- /dev/null
+++ b/crates/owner/src/commands/adopt.rs
@@ -0,0 +1,25 @@
+//! Takes over what an earlier owner of the pool knew.
+
+use {
+    crate::{commands::restand, Knowledge, PoolState},
+    outlier::commands::{adopt as adopt_heard, adopt_tail},
+    permit::commands::{adopt_counts, adopt_service_time},
+};
+
+/// Takes over `knowledge` of servers that are still the same processes, and the retries of the window.
+pub fn adopt(state: &mut PoolState, knowledge: &Knowledge, window_ms: u64, now_ms: u64) {
+    for server in &knowledge.servers {
+        let Some(index) = state.pool.names.find(&server.name) else {
+            continue;
+        };
+        let note = state.notes.get(index);
+        if note.is_some_and(|note| note.born_ms == server.born_ms) {
+            adopt_heard(&mut state.health, index, server.heard, now_ms);
+        }
+    }
+    adopt_tail(&mut state.health, knowledge.tail);
+    adopt_service_time(&mut state.pool, knowledge.service_us);
+    let (requests, retries) = (knowledge.requests, knowledge.retries);
+    adopt_counts(&mut state.budget, window_ms, requests, retries, now_ms);
+    restand(state, now_ms);
+}
--- /dev/null
+++ b/crates/owner/src/commands/look.rs
@@ -0,0 +1,110 @@
+//! What an owner does from time to time for each of its pools.
+
+use {
+    crate::{commands::restand, PoolState},
+    outlier::{
+        commands::{begin_ejection, end_ejection, observe, observe_flight, plan_trials},
+        queries::late_limit_us,
+        Evidence,
+    },
+    permit::{commands, queries, Standing},
+    std::collections::HashSet,
+    types::ServerIndex,
+};
+
+/// Multiple of the late limit from which a request in flight is overdue; leaves the entry time to try a
+/// new connection first.
+const OVERDUE_FACTOR: f64 = 1.25;
+
+/// Takes back what has expired, weighs what is in flight, plans trials and follows the ejections in `obeyed`.
+pub fn look(state: &mut PoolState, obeyed: &[String], now_ms: u64) {
+    commands::expire(&mut state.pool, now_ms);
+    commands::drop_silent_waiters(&mut state.pool, now_ms);
+    drop_waiters(state);
+    find_overdue(state, now_ms);
+    for server in plan_trials(&mut state.health, now_ms) {
+        if let Some(entry) = state.pool.servers.get_mut(server) {
+            entry.trial_due = true;
+        }
+    }
+    apply_obeyed(state, obeyed, now_ms);
+    restand(state, now_ms);
+}
+
+/// A server whose standing changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The server.
+    pub server: ServerIndex,
+    /// Its standing before.
+    pub earlier: Standing,
+    /// Its standing now, and whether it is leaving.
+    pub now: (Standing, bool),
+}
+
+/// Returns the servers whose standing changed since this was asked last.
+pub fn take_changes(state: &mut PoolState) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for (index, server) in state.pool.servers.iter() {
+        let now = (server.standing, server.leaving);
+        if let Some(note) = state.notes.get_mut(index).filter(|note| note.logged != now) {
+            changes.push(Change {
+                server: index,
+                earlier: note.logged.0,
+                now,
+            });
+            note.logged = now;
+        }
+    }
+    changes
+}
+
+fn drop_waiters(state: &mut PoolState) {
+    let tickets: HashSet<u64> = permit::queries::tickets(&state.pool).collect();
+    state.waiters.retain(|ticket, _| tickets.contains(ticket));
+}
+
+/// Holds old requests in flight against their servers: overdue ones once and for all, others while they last.
+fn find_overdue(state: &mut PoolState, now_ms: u64) {
+    let Some(limit_us) = late_limit_us(&state.health) else {
+        return;
+    };
+    let sensitivity = state.sensitivity;
+    let limit_ms = (limit_us * OVERDUE_FACTOR / 1_000.0) as u64;
+    for server in commands::mark_overdue(&mut state.pool, now_ms, limit_ms) {
+        observe(
+            &mut state.health,
+            server,
+            Evidence::Overdue,
+            sensitivity,
+            now_ms,
+        );
+    }
+    observe_flights(state, now_ms);
+}
+
+/// Weighs the ages of the requests in flight at each server.
+pub fn observe_flights(state: &mut PoolState, now_ms: u64) {
+    for (server, ages_ms) in queries::flight_ages_ms(&state.pool, now_ms).iter() {
+        let ages_us: Vec<f64> = ages_ms
+            .iter()
+            .map(|&age_ms| age_ms as f64 * 1_000.0)
+            .collect();
+        observe_flight(&mut state.health, server, &ages_us, now_ms);
+    }
+}
+
+/// Applies the obeyed ejections to a pool and notes which began or ended.
+fn apply_obeyed(state: &mut PoolState, obeyed: &[String], now_ms: u64) {
+    let sensitivity = state.sensitivity;
+    for (index, note) in state.notes.iter_mut() {
+        let name = state.pool.names.name(index);
+        let ejected = obeyed.iter().any(|other| other == name);
+        if ejected && !note.ejected {
+            begin_ejection(&mut state.health, index, now_ms);
+        } else if !ejected && note.ejected {
+            end_ejection(&mut state.health, index, sensitivity, now_ms);
+        }
+        note.ejected = ejected;
+    }
+}
--- /dev/null
+++ b/crates/owner/src/queries/eject.rs
@@ -0,0 +1,45 @@
+//! What an owner says about ejections from one pool.
+
+use {
+    crate::PoolState,
+    outlier::{
+        queries::{self, judge},
+        Opinion, RecordKind,
+    },
+    types::ServerIndex,
+};
+
+/// Returns the record that is due about a server, if one is.
+pub fn ejection_due(state: &PoolState, index: ServerIndex, now_ms: u64) -> Option<RecordKind> {
+    let note = state.notes.get(index)?;
+    let entry = state.health.servers.get(index)?;
+    if now_ms < note.proposed_until_ms || !note.listed {
+        return None;
+    }
+    if note.ejected {
+        let hold = now_ms < entry.hold_until_ms;
+        return Some(if hold {
+            RecordKind::Renew
+        } else {
+            RecordKind::Return
+        });
+    }
+    let opinion = judge(&state.health, index, state.sensitivity, now_ms);
+    (opinion == Opinion::Eject).then_some(RecordKind::Eject)
+}
+
+/// Returns the slots of a pool that are proved healthy and not counted as ejected.
+pub fn proved_slots(state: &PoolState, now_ms: u64, counted: &[String]) -> u32 {
+    queries::proved_slots(&state.health.servers, now_ms, |server| {
+        let name = state.pool.names.name(server);
+        let usable = state
+            .pool
+            .servers
+            .get(server)
+            .filter(|entry| !entry.leaving);
+        match usable {
+            Some(entry) if !counted.iter().any(|other| other == name) => entry.slots,
+            _ => 0,
+        }
+    })
+}
--- /dev/null
+++ b/crates/owner/src/queries/knowledge.rs
@@ -0,0 +1,62 @@
+//! What an owner tells its successor.
+
+use {
+    crate::PoolState,
+    outlier::{commands::Heard, Tail},
+    permit::queries::{counts, service_us},
+};
+
+/// Age from which evidence is not handed on, in milliseconds; it has faded by then.
+const OLD_MS: u64 = 30_000;
+
+/// What an owner knows of one server.
+#[derive(Clone, Debug)]
+pub struct KnownServer {
+    /// Its name.
+    pub name: String,
+    /// Start of the server, in milliseconds since 1970; 0 if not known.
+    pub born_ms: u64,
+    /// The evidence about it.
+    pub heard: Heard,
+}
+
+/// What an owner knows of a pool.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// How long the pool's whole answers take at most, but for a few.
+    pub tail: Tail,
+    /// Mean service time, in microseconds; 0 if not known.
+    pub service_us: f64,
+    /// Requests in the window of retries.
+    pub requests: u32,
+    /// Retries in that window.
+    pub retries: u32,
+    /// Servers of which something was heard lately.
+    pub servers: Vec<KnownServer>,
+}
+
+/// Returns what is known of a pool.
+pub fn knowledge(state: &PoolState, now_ms: u64) -> Knowledge {
+    let (requests, retries) = counts(&state.budget);
+    let servers = state.health.servers.iter().filter_map(|(index, entry)| {
+        let note = state.notes.get(index).filter(|note| note.listed)?;
+        let age_ms = now_ms.saturating_sub(entry.belief_ms);
+        (entry.whole_count > 0 && age_ms < OLD_MS).then(|| KnownServer {
+            name: state.pool.names.name(index).to_owned(),
+            born_ms: note.born_ms,
+            heard: Heard {
+                belief: entry.belief,
+                age_ms,
+                usual_us: entry.usual_us,
+                whole_count: entry.whole_count,
+            },
+        })
+    });
+    Knowledge {
+        tail: state.health.tail,
+        service_us: service_us(&state.pool),
+        requests,
+        retries,
+        servers: servers.collect(),
+    }
+}
--- /dev/null
+++ b/crates/owner/src/state.rs
@@ -0,0 +1,105 @@
+//! The state of one pool at its owner.
+//!
+//! Invariant: the pool's servers, their evidence and the notes have the same indices.
+
+use {
+    outlier::{Health, Sensitivity},
+    permit::{Budget, Pool, Recent, Standing},
+    std::{collections::HashMap, sync::Arc},
+    tokio::sync::Notify,
+    types::{EntityMap, ServerIndex},
+};
+
+/// What the owner notes of a server beside its slots and its evidence.
+#[derive(Clone, Copy, Debug)]
+pub struct Note {
+    /// Start of the server, in milliseconds since 1970; 0 if not known.
+    pub born_ms: u64,
+    /// Whether the list has it as live.
+    pub listed: bool,
+    /// Whether it said itself that it drains, or another server has its address.
+    pub draining: bool,
+    /// Whether an ejection of it is obeyed.
+    pub ejected: bool,
+    /// Until when no new record about it is proposed, in milliseconds.
+    pub proposed_until_ms: u64,
+    /// Standing last logged, and whether it was leaving.
+    pub logged: (Standing, bool),
+}
+
+impl Note {
+    /// Notes a server that was just listed and started at `born_ms`.
+    pub fn new(born_ms: u64) -> Self {
+        Self {
+            born_ms,
+            listed: true,
+            draining: false,
+            ejected: false,
+            proposed_until_ms: 0,
+            logged: (Standing::Good, false),
+        }
+    }
+}
+
+/// One pool with all that its owner knows.
+pub struct PoolState {
+    /// Name of its service.
+    pub service: String,
+    /// Data centre or region that it spans.
+    pub area: String,
+    /// Retries of this pool's share of the service.
+    pub budget: Budget,
+    /// Requests and failed ones of late, for how much of the service fails.
+    pub recent: Recent,
+    /// Slots, permits and queue.
+    pub pool: Pool,
+    /// Evidence of its servers.
+    pub health: Health,
+    /// What else is noted of its servers.
+    pub notes: EntityMap<ServerIndex, Note>,
+    /// Who waits here for a slot, by ticket.
+    pub(crate) waiters: HashMap<u64, Arc<Notify>>,
+    /// How much a failure says.
+    pub(crate) sensitivity: Sensitivity,
+    /// Floor of the service, in slots.
+    pub floor_slots: u32,
+    /// Version of the list that was applied last.
+    pub(crate) listed_version: u64,
+    /// Version of the configuration that was applied last.
+    pub(crate) config_version: u64,
+    /// When the pool was opened here, in milliseconds.
+    pub(crate) created_ms: u64,
+    /// When it was asked last, in milliseconds.
+    pub asked_ms: u64,
+}
+
+impl PoolState {
+    /// Creates a pool without servers.
+    pub fn new(service: &str, area: &str, now_ms: u64) -> Self {
+        Self {
+            service: service.to_owned(),
+            area: area.to_owned(),
+            budget: Budget::new(),
+            recent: Recent::default(),
+            // Another owner's permits must not be taken for this one's.
+            pool: Pool::with_first_permit(fastrand::u64(1..u64::MAX / 2)),
+            health: Health::new(),
+            notes: EntityMap::new(),
+            waiters: HashMap::new(),
+            sensitivity: Sensitivity::careful(),
+            floor_slots: 0,
+            listed_version: 0,
+            config_version: 0,
+            created_ms: now_ms,
+            asked_ms: now_ms,
+        }
+    }
+
+    /// Wakes the first waiter that can take a slot at once.
+    pub fn wake_first(&self, now_ms: u64) {
+        let first = permit::queries::first_present(&self.pool, now_ms);
+        if let Some(waiter) = first.and_then(|ticket| self.waiters.get(&ticket)) {
+            waiter.notify_one();
+        }
+    }
+}
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -90,9 +90,6 @@
     pub idempotent: bool,
     /// When the request must be finished, in milliseconds of the owner's clock.
     pub deadline_ms: u64,
-    /// Until when its answer has its full worth, in milliseconds of the owner's clock; 0 if it has no target or
-    /// has missed it.
-    pub target_ms: u64,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
     /// Data centre of the asker, whose servers are preferred.
