--- a/crates/bench/src/example.rs
+++ b/crates/bench/src/example.rs
@@ -4,15 +4,13 @@
     crate::fleet::free_address,
     config::Kind,
     daemon::{Principal, Settings},
+    member::{BackendServer, Instance},
     standin::{Backend, BackendKnobs, Platform},
     std::{io, net::SocketAddr, process::ExitCode, time::Duration},
     tokio::{runtime::Builder, signal::ctrl_c, time::sleep},
     wire::{
         convert,
-        generated::{
-            ConfigKind, ConfigRecord, DetectionText, DocumentText, ListedInstance, ListedServer,
-            MemberList, PresenceText, ServiceText,
-        },
+        generated::{DetectionText, DocumentText, ServiceText},
         to_text,
     },
 };
@@ -47,7 +45,8 @@
     let platform = Platform::new(loopback).await?;
     let settings = settings(platform.address)?;
     let document = document();
-    accept(&platform, &document);
+    // In force at once, so that the first request is served.
+    platform.accept(&document);
     let mut backends = Vec::new();
     let mut servers = Vec::new();
     for service in &document.services {
@@ -62,19 +61,8 @@
             backends.push(backend);
         }
     }
-    platform.list(MemberList {
-        version: 0,
-        instances: vec![ListedInstance {
-            name: settings.instance.clone(),
-            data_centre: DATA_CENTRE.to_owned(),
-            rpc_address: settings.rpc_address.to_string(),
-            presence: PresenceText::Live,
-            region: None,
-            capacity_permille: None,
-            incarnation: None,
-        }],
-        servers,
-    });
+    let instance = Instance::new(&settings.instance, DATA_CENTRE, settings.rpc_address);
+    platform.list(&[instance], &servers);
     let started = daemon::commands::start(settings)
         .await
         .map_err(io::Error::other)?;
@@ -108,19 +96,9 @@
     log::LevelFilter::Info
 }
 
-fn listed(name: &str, service: &str, address: SocketAddr) -> ListedServer {
-    ListedServer {
-        name: name.to_owned(),
-        service: service.to_owned(),
-        data_centre: DATA_CENTRE.to_owned(),
-        address: address.to_string(),
-        slots: BackendKnobs::default().slots,
-        presence: PresenceText::Live,
-        region: None,
-        born_ms: None,
-        sequence: None,
-        cold_ms: None,
-    }
+fn listed(name: &str, service: &str, address: SocketAddr) -> BackendServer {
+    let slots = BackendKnobs::default().slots;
+    BackendServer::new(name, service, DATA_CENTRE, address, slots)
 }
 
 fn document() -> DocumentText {
@@ -145,23 +123,6 @@
     }
 }
 
-/// Puts the example's document in the log as accepted, so that the first request is served at once.
-fn accept(platform: &Platform, document: &DocumentText) {
-    let digest = config::queries::digest(&convert::document_from_text(document));
-    let record = ConfigRecord {
-        kind: ConfigKind::Snapshot,
-        nonce: 1,
-        principal: String::new(),
-        proposer: String::new(),
-        proposal_offset: 0,
-        version: 1,
-        digest,
-        through_offset: 0,
-        document: document.clone(),
-    };
-    platform.append("config", &to_text(&record));
-}
-
 fn print_lines(caller: SocketAddr, admin: SocketAddr, document: &DocumentText) -> io::Result<()> {
     let mut changed = document.clone();
     changed.services[0].floor_slots = 4;
--- a/crates/bench/src/experiments/leaving.rs
+++ b/crates/bench/src/experiments/leaving.rs
@@ -9,12 +9,12 @@
         shape::Shape,
         world::World,
     },
+    member::Presence,
     std::{
         io,
         time::{Duration, Instant},
     },
     tokio::time::sleep,
-    wire::generated::PresenceText,
 };
 
 /// Use of all slots, in percent.
@@ -84,7 +84,7 @@
         is_listed.push(servers[1]);
     }
     for &index in says.iter().chain(&is_listed) {
-        world.servers[index].presence = PresenceText::Leaving;
+        world.servers[index].presence = Presence::Leaving;
     }
     for &index in &says {
         world.servers[index]
--- a/crates/bench/src/experiments/planned_stop.rs
+++ b/crates/bench/src/experiments/planned_stop.rs
@@ -9,12 +9,12 @@
         shape::Shape,
         world::World,
     },
+    member::Presence,
     std::{
         io,
         time::{Duration, Instant},
     },
     tokio::time::sleep,
-    wire::generated::PresenceText,
 };
 
 /// Requests a second, over all services.
@@ -73,7 +73,7 @@
 async fn replace(world: &mut World, balancer: &Balancer, batch: &[usize]) -> io::Result<f64> {
     let start = Instant::now();
     for &index in batch {
-        world.instances[index].presence = PresenceText::Leaving;
+        world.instances[index].presence = Presence::Leaving;
         world.instances[index].process.terminate();
     }
     world.publish();
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -2,34 +2,20 @@
 
 use {
     serde_json::json,
+    standin::Ports,
     std::{
         env, fs, io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU16, Ordering},
     },
 };
 
-/// First port tried; below the range from which the system takes ports for outgoing connections.
-const FIRST_PORT: u16 = 10_000;
-/// Ports tried.
-const PORT_COUNT: u16 = 20_000;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+static PORTS: Ports = Ports::new(10_000, 20_000);
 
 /// Finds a loopback address that nobody listens on.
 pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    let offset = (std::process::id() * 131 % u32::from(PORT_COUNT)) as u16;
-    for _ in 0..PORT_COUNT {
-        let step = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
-        let port = FIRST_PORT + (offset + step % PORT_COUNT) % PORT_COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(io::ErrorKind::AddrInUse.into())
+    PORTS.free_address()
 }
 
 /// What a process is told.
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -7,6 +7,7 @@
         shape::Shape,
     },
     hyper::Method,
+    member::{BackendServer, Instance, Presence},
     serde_json::Value,
     standin::{Backend, FaultProxy, Platform},
     std::{
@@ -19,10 +20,7 @@
     tokio::time::sleep,
     wire::{
         from_text,
-        generated::{
-            DecideAsk, DocumentText, ListedInstance, ListedServer, MemberList, PresenceText,
-            ProposeAsk, Receipt, StatusReport,
-        },
+        generated::{DecideAsk, DocumentText, ProposeAsk, Receipt, StatusReport},
         to_text,
     },
 };
@@ -43,7 +41,7 @@
     pub(crate) slots: u32,
     pub(crate) backend: Backend,
     pub(crate) proxy: Option<FaultProxy>,
-    pub(crate) presence: PresenceText,
+    pub(crate) presence: Presence,
 }
 
 impl ServerUnderTest {
@@ -62,7 +60,7 @@
     pub(crate) to_platform: FaultProxy,
     /// In front of this instance's JSON-RPC, for all others.
     pub(crate) to_rpc: Option<FaultProxy>,
-    pub(crate) presence: PresenceText,
+    pub(crate) presence: Presence,
 }
 
 impl InstanceUnderTest {
@@ -159,7 +157,7 @@
                     slots: service.knobs.slots,
                     backend,
                     proxy,
-                    presence: PresenceText::Live,
+                    presence: Presence::Live,
                 });
             }
         }
@@ -193,7 +191,7 @@
             process,
             to_platform,
             to_rpc,
-            presence: PresenceText::Live,
+            presence: Presence::Live,
         });
         Ok(self.instances.len() - 1)
     }
@@ -211,32 +209,26 @@
 
     /// Publishes the platform's list.
     pub(crate) fn publish(&self) {
-        let instances = self.instances.iter().map(|instance| ListedInstance {
-            name: instance.process.plan.name.clone(),
-            data_centre: instance.process.plan.data_centre.clone(),
-            rpc_address: instance.rpc_address().to_string(),
-            presence: instance.presence,
-            region: None,
-            capacity_permille: None,
-            incarnation: None,
+        let instances = self.instances.iter().map(|instance| {
+            let plan = &instance.process.plan;
+            let listed = Instance::new(&plan.name, &plan.data_centre, instance.rpc_address());
+            Instance {
+                presence: instance.presence,
+                ..listed
+            }
         });
-        let servers = self.servers.iter().map(|server| ListedServer {
-            name: server.name.clone(),
-            service: server.service.clone(),
-            data_centre: server.data_centre.clone(),
-            address: server.address().to_string(),
-            slots: server.slots,
+        let servers = self.servers.iter().map(|server| BackendServer {
             presence: server.presence,
-            region: None,
-            born_ms: None,
-            sequence: None,
-            cold_ms: None,
-        });
-        self.platform.list(MemberList {
-            version: 0,
-            instances: instances.collect(),
-            servers: servers.collect(),
+            ..BackendServer::new(
+                &server.name,
+                &server.service,
+                &server.data_centre,
+                server.address(),
+                server.slots,
+            )
         });
+        let (instances, servers): (Vec<_>, Vec<_>) = (instances.collect(), servers.collect());
+        self.platform.list(&instances, &servers);
     }
 
     /// Proposes and approves a document at one instance; returns the receipt of the approval.
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -32,6 +32,17 @@
     pub token: String,
 }
 
+/// The proposal that was read.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Read {
+    /// Digest of the proposal, as shown
+    #[bpaf(argument("DIGEST"))]
+    pub digest: String,
+    /// Offset of the proposal, as shown
+    #[bpaf(positional("OFFSET"))]
+    pub offset: u64,
+}
+
 /// What the tool does.
 #[derive(Bpaf, Clone, Debug)]
 pub enum Command {
@@ -68,12 +79,9 @@
         /// The instance to talk to.
         #[bpaf(external)]
         target: Target,
-        /// Digest of the proposal, as shown
-        #[bpaf(argument("DIGEST"))]
-        digest: String,
-        /// Offset of the proposal, as shown
-        #[bpaf(positional("OFFSET"))]
-        offset: u64,
+        /// The proposal that was read.
+        #[bpaf(external)]
+        read: Read,
     },
     /// Reject a proposal
     #[bpaf(command)]
@@ -81,12 +89,9 @@
         /// The instance to talk to.
         #[bpaf(external)]
         target: Target,
-        /// Digest of the proposal, as shown
-        #[bpaf(argument("DIGEST"))]
-        digest: String,
-        /// Offset of the proposal, as shown
-        #[bpaf(positional("OFFSET"))]
-        offset: u64,
+        /// The proposal that was read.
+        #[bpaf(external)]
+        read: Read,
     },
     /// Show what is out of service at an instance's pools, and why
     #[bpaf(command)]
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -4,7 +4,7 @@
     crate::{
         error::{FileSnafu, InvalidSnafu, RefusedSnafu},
         queries::{config_view, send},
-        Target, ToolError,
+        Read, Target, ToolError,
     },
     config::queries::verify,
     hyper::Method,
@@ -59,20 +59,15 @@
     change(target, "config/propose", to_text(&ask)).await
 }
 
-/// Approves (`approves`) or rejects the proposal at `offset`.
+/// Approves (`approves`) or rejects the proposal that was read.
 ///
 /// # Errors
 ///
 /// The instance refuses or can't be reached.
-pub async fn decide(
-    target: &Target,
-    approves: bool,
-    offset: u64,
-    digest: &str,
-) -> Result<Receipt, ToolError> {
+pub async fn decide(target: &Target, approves: bool, read: &Read) -> Result<Receipt, ToolError> {
     let ask = DecideAsk {
-        offset,
-        digest: digest.to_owned(),
+        offset: read.offset,
+        digest: read.digest.clone(),
     };
     let path = if approves {
         "config/approve"
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -54,21 +54,13 @@
             let receipt = commands::propose(target, *base, file).await?;
             Ok(shown(json, &receipt, &proposed(&receipt)))
         }
-        Command::Approve {
-            target,
-            digest,
-            offset,
-        } => {
-            let receipt = commands::decide(target, true, *offset, digest).await?;
+        Command::Approve { target, read } => {
+            let receipt = commands::decide(target, true, read).await?;
             let text = format!("Version {} is in force.", receipt.version);
             Ok(shown(json, &receipt, &text))
         }
-        Command::Reject {
-            target,
-            digest,
-            offset,
-        } => {
-            let receipt = commands::decide(target, false, *offset, digest).await?;
+        Command::Reject { target, read } => {
+            let receipt = commands::decide(target, false, read).await?;
             Ok(shown(json, &receipt, "Rejected."))
         }
         Command::Show { target } => {
--- a/crates/daemon/src/commands/answer_ask.rs
+++ b/crates/daemon/src/commands/answer_ask.rs
@@ -1,10 +1,14 @@
 //! Answers a peer that asks for the answer of a key this node claimed.
 
 use {
-    crate::{commands::claims::release_given_up, queries::answer_text, Node},
+    crate::{
+        commands::claims::release_given_up,
+        queries::{answer_text, find_by},
+        Node,
+    },
     claim::{queries, Digest, Local},
     std::{sync::Arc, time::Duration},
-    tokio::time::{timeout_at, Instant},
+    tokio::time::Instant,
     types::hash_of,
     wire::{
         generated::{AnswerAsk, AnswerState, AnswerText},
@@ -27,16 +31,9 @@
         return answer_text(AnswerState::Released, None);
     }
     let until = Instant::now() + Duration::from_millis(ask.wait_ms.min(WAIT_MAX_MS));
-    loop {
-        let mut changed = node.answers_changed.subscribe();
-        let answer = known(node, &digest);
-        if answer.state != AnswerState::Running {
-            return answer;
-        }
-        if timeout_at(until, changed.changed()).await.is_err() {
-            return answer;
-        }
-    }
+    let ended = || Some(known(node, &digest)).filter(|answer| answer.state != AnswerState::Running);
+    let found = find_by(&node.answers_changed, until, ended).await;
+    found.unwrap_or_else(|| answer_text(AnswerState::Running, None))
 }
 
 fn known(node: &Node, digest: &Digest) -> AnswerText {
--- a/crates/daemon/src/commands/change_config.rs
+++ b/crates/daemon/src/commands/change_config.rs
@@ -6,12 +6,13 @@
     crate::{
         commands::fold_config::CONFIG_STREAM,
         node::{ConfigState, Taken},
+        queries::find_by,
         Node,
     },
     config::{queries, Decision, Entry, Proposal, Verdict},
     std::{sync::Arc, time::Duration},
     stream::{commands::append, AppendError},
-    tokio::time::{timeout_at, Instant},
+    tokio::time::Instant,
     types::ResultCode,
     wire::{
         convert,
@@ -99,18 +100,13 @@
         };
     }
     let until = Instant::now() + Duration::from_millis(READ_BACK_MS);
-    loop {
-        let mut changed = node.config_changed.subscribe();
-        let taken = node.config.with(0, |state| find_taken(state, nonce));
-        if let Some(taken) = taken {
-            return Receipt {
-                offset: taken.offset,
-                ..receipt(node, code(taken.verdict))
-            };
-        }
-        if timeout_at(until, changed.changed()).await.is_err() {
-            return receipt(node, ResultCode::LogAway);
-        }
+    let look = || node.config.with(0, |state| find_taken(state, nonce));
+    match find_by(&node.config_changed, until, look).await {
+        Some(taken) => Receipt {
+            offset: taken.offset,
+            ..receipt(node, code(taken.verdict))
+        },
+        None => receipt(node, ResultCode::LogAway),
     }
 }
 
--- a/crates/daemon/src/commands/claims.rs
+++ b/crates/daemon/src/commands/claims.rs
@@ -4,6 +4,7 @@
     crate::{
         commands::peers::call,
         node::{claim_stream, wall_ms, CLAIM_STREAMS},
+        queries::find_by,
         Node,
     },
     claim::{
@@ -18,7 +19,6 @@
         time::{Duration, Instant},
     },
     stream::{queries::read, AppendError, ReadError},
-    tokio::time::timeout_at,
     types::{hash_of, ResultCode},
     wire::{
         convert, from_text,
@@ -227,26 +227,21 @@
 
 /// Waits for this instance's own run of the key.
 async fn own_answer(node: &Arc<Node>, digest: Digest, deadline: Instant) -> ClaimEnd {
-    loop {
-        let mut changed = node.answers_changed.subscribe();
+    let ended = || {
         let known = node.answers.with(hash_of(&digest), |answers| {
             queries::local(answers, &digest).cloned()
         });
         match known {
-            Some(Local::Done(stored)) => return ClaimEnd::Stored(stored),
-            Some(Local::Running) => {}
-            Some(Local::NotRun) => return ClaimEnd::Refused(ResultCode::KeyUnclaimed),
+            Some(Local::Done(stored)) => Some(ClaimEnd::Stored(stored)),
+            Some(Local::Running) => None,
+            Some(Local::NotRun) => Some(ClaimEnd::Refused(ResultCode::KeyUnclaimed)),
             Some(Local::Doubtful) | None => {
-                return ClaimEnd::Refused(ResultCode::KeyElsewhereUnknown)
+                Some(ClaimEnd::Refused(ResultCode::KeyElsewhereUnknown))
             }
         }
-        if timeout_at(deadline.into(), changed.changed())
-            .await
-            .is_err()
-        {
-            return ClaimEnd::Refused(ResultCode::KeyElsewhereUnknown);
-        }
-    }
+    };
+    let found = find_by(&node.answers_changed, deadline.into(), ended).await;
+    found.unwrap_or(ClaimEnd::Refused(ResultCode::KeyElsewhereUnknown))
 }
 
 /// What a claimant said.
--- a/crates/daemon/src/commands/peers.rs
+++ b/crates/daemon/src/commands/peers.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{node::PeerCell, Node},
-    entry::set_socket_options,
+    entry::open_socket,
     jsonrpsee::{
         core::client::ClientT,
         rpc_params,
@@ -15,7 +15,7 @@
     serde_json::Value,
     snafu::Snafu,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpStream, sync::OnceCell, time::timeout},
+    tokio::{sync::OnceCell, time::timeout},
     types::hash_of,
 };
 
@@ -119,18 +119,11 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Arc<WsClient>, CallError> {
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let connecting = timeout(limit, TcpStream::connect(address)).await;
-    let stream = match connecting {
-        Ok(Ok(stream)) => stream,
-        _ => return Err(CallError::Unreachable),
-    };
-    if set_socket_options(&stream).is_err() {
-        return Err(CallError::Unreachable);
-    }
+    let opened = open_socket(address, CONNECT_TIMEOUT_MS).await;
+    let stream = opened.map_err(|_| CallError::Unreachable)?;
     let client = WsClientBuilder::default()
         .request_timeout(Duration::from_millis(CALL_TIMEOUT_MS))
-        .connection_timeout(limit)
+        .connection_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
         .max_concurrent_requests(CALLS_MAX)
         .build_with_stream(format!("ws://{address}"), stream)
         .await;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -10,46 +10,29 @@
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Method, Request},
     hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    member::{BackendServer, Instance},
     serde_json::json,
-    standin::{Backend, BackendKnobs, FaultProxy, Platform},
+    standin::{Backend, BackendKnobs, FaultProxy, Platform, Ports},
     std::{
         env, fs,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU16, Ordering},
         time::{Duration, Instant},
     },
     wire::{
         convert,
-        generated::{
-            ConfigKind, ConfigRecord, DetectionText, DocumentText, ListedInstance, ListedServer,
-            MemberList, PresenceText, ServiceText,
-        },
-        to_text,
+        generated::{DetectionText, DocumentText, ServiceText},
     },
 };
 
 /// Longest time for anything to come true, in seconds.
 const PATIENCE_S: u64 = 20;
-/// First port tried; below the range for outgoing connections.
-const FIRST_PORT: u16 = 4_000;
-/// Ports tried.
-const PORT_COUNT: u16 = 6_000;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+static PORTS: Ports = Ports::new(4_000, 6_000);
 
 /// Finds a loopback address that nobody listens on.
 pub(crate) fn free_address() -> SocketAddr {
-    let offset = (std::process::id() * 97 % u32::from(PORT_COUNT)) as u16;
-    loop {
-        let step = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
-        let port = FIRST_PORT + (offset + step) % PORT_COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    PORTS.free_address().expect("a free port")
 }
 
 /// A real `catkinhitchd`; dropping it kills it.
@@ -126,9 +109,7 @@
             processes: Vec::new(),
             folder,
         };
-        system
-            .platform
-            .append("config", &to_text(&snapshot(&document(2_000))));
+        system.platform.accept(&document(2_000));
         for _ in 0..count {
             system.add_process().await;
         }
@@ -178,36 +159,13 @@
     }
 
     pub(crate) fn publish(&self) {
-        let instances = self.processes.iter().map(|process| ListedInstance {
-            name: process.name.clone(),
-            data_centre: "a".into(),
-            rpc_address: process.rpc.to_string(),
-            presence: PresenceText::Live,
-            region: None,
-            capacity_permille: None,
-            incarnation: None,
-        });
-        let servers = self
-            .backends
-            .iter()
-            .enumerate()
-            .map(|(number, backend)| ListedServer {
-                name: format!("b{number}"),
-                service: "orders".into(),
-                data_centre: "a".into(),
-                address: backend.address.to_string(),
-                slots: 4,
-                presence: PresenceText::Live,
-                region: None,
-                born_ms: None,
-                sequence: None,
-                cold_ms: None,
-            });
-        self.platform.list(MemberList {
-            version: 0,
-            instances: instances.collect(),
-            servers: servers.collect(),
+        let instances = self.processes.iter();
+        let instances = instances.map(|process| Instance::new(&process.name, "a", process.rpc));
+        let servers = self.backends.iter().enumerate().map(|(number, backend)| {
+            BackendServer::new(&format!("b{number}"), "orders", "a", backend.address, 4)
         });
+        let (instances, servers): (Vec<_>, Vec<_>) = (instances.collect(), servers.collect());
+        self.platform.list(&instances, &servers);
     }
 
     /// How often a request id ran, over all servers.
@@ -253,20 +211,6 @@
     }
 }
 
-fn snapshot(document: &DocumentText) -> ConfigRecord {
-    ConfigRecord {
-        kind: ConfigKind::Snapshot,
-        nonce: 1,
-        principal: String::new(),
-        proposer: String::new(),
-        proposal_offset: 0,
-        version: 1,
-        digest: config::queries::digest(&convert::document_from_text(document)),
-        through_offset: 0,
-        document: document.clone(),
-    }
-}
-
 /// Sends one request; nothing if it could not be sent or its answer was cut.
 pub(crate) async fn send(
     address: SocketAddr,
--- a/crates/daemon/tests/support/store.rs
+++ b/crates/daemon/tests/support/store.rs
@@ -3,8 +3,9 @@
 use {
     crate::support::{free_address, send, wait_ready, Reply},
     hyper::Method,
-    serde_json::json,
-    standin::{caller_headers, Backend, BackendKnobs, FaultProxy, ServerEntry, Store},
+    standin::{
+        caller_headers, Backend, BackendKnobs, FaultProxy, ServerEntry, Store, StoreInstance,
+    },
     std::{
         env, fs,
         net::SocketAddr,
@@ -126,25 +127,20 @@
         let (caller, rpc, admin) = (free_address(), free_address(), free_address());
         let to_store = FaultProxy::new(self.store.address).await.expect("a proxy");
         self.seeds.push(rpc.to_string());
-        let settings = json!({
-            "instance": format!("i{number}"),
-            "data_centre": "a",
-            "regions": { "a": "r" },
-            "processor_share": 0.2,
-            "caller_address": caller.to_string(),
-            "rpc_address": rpc.to_string(),
-            "admin_address": admin.to_string(),
-            "platform": "store",
-            "platform_address": to_store.address.to_string(),
-            "seeds": self.seeds.iter().take(3).collect::<Vec<_>>(),
-            "principals": [],
-            "drain_ms": 200,
-            "stop_s": 4,
-            "retry_slack": 20,
-        });
+        let settings = StoreInstance {
+            name: &format!("i{number}"),
+            data_centre: "a",
+            data_centres: &["a"],
+            caller,
+            rpc,
+            admin,
+            store: to_store.address,
+            seeds: &self.seeds[..self.seeds.len().min(3)],
+            drain_ms: 200,
+        };
         let file = self.folder.join(format!("i{number}.json"));
         let log = self.folder.join(format!("i{number}.log"));
-        fs::write(&file, settings.to_string()).expect("a settings file");
+        fs::write(&file, settings.text()).expect("a settings file");
         self.processes.push(StoreProcess {
             caller,
             admin,
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -124,12 +124,7 @@
 ///
 /// Nothing was sent if this fails.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
-        Ok(result) => result?,
-        Err(_) => return Err(io::ErrorKind::TimedOut.into()),
-    };
-    set_socket_options(&stream)?;
+    let stream = open_socket(address, CONNECT_TIMEOUT_MS).await?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
@@ -144,15 +139,22 @@
     })
 }
 
-/// Sets the options that every long-lived connection needs, so that the system gives up one that went silent.
+/// Opens a socket with the options that every long-lived connection needs, so that the system gives up one that went
+/// silent; waits for at most `limit_ms`.
 ///
 /// # Errors
 ///
-/// The system refuses an option.
-pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+/// The address can't be reached in time, or the system refuses an option.
+pub async fn open_socket(address: SocketAddr, limit_ms: u64) -> io::Result<TcpStream> {
+    let limit = Duration::from_millis(limit_ms);
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
+        Ok(result) => result?,
+        Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+    };
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
+    let socket = SockRef::from(&stream);
     let period = Duration::from_millis(USER_TIMEOUT_MS);
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(period))?;
-    socket.set_tcp_user_timeout(Some(period))
+    socket.set_tcp_user_timeout(Some(period))?;
+    Ok(stream)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use crate::{
     answer::{Answer, BodyKind, BoxedBody, StoredAnswer},
-    connections::{set_socket_options, Connection, Connections},
+    connections::{open_socket, Connection, Connections},
     names::Names,
     plan::{Body, Head, Incoming, KeyPlan, OnceBody, Plan, Rules},
     policy::{
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,11 +1,10 @@
 //! The system under test and what is kept of its run.
 
 use {
-    serde_json::json,
-    standin::{Backend, BackendKnobs, FaultProxy, ServerEntry, Store},
+    standin::{Backend, BackendKnobs, FaultProxy, Ports, ServerEntry, Store, StoreInstance},
     std::{
         env, fs, io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::{Path, PathBuf},
         process::Stdio,
         sync::{Mutex, MutexGuard, PoisonError},
@@ -16,10 +15,12 @@
 
 /// Timeout of the routes, in seconds.
 const TIMEOUT_S: f64 = 1.2;
-/// First port tried; below the range for outgoing connections.
-const FIRST_PORT: u16 = 11_000;
-/// Ports tried.
-const PORT_COUNT: u16 = 15_000;
+/// Time for which an instance that stops still takes callers, in milliseconds.
+const DRAIN_MS: u64 = 400;
+/// Data centres, which instances and servers stand in by turns.
+const DATA_CENTRES: [&str; 2] = ["dc0", "dc1"];
+
+static PORTS: Ports = Ports::new(11_000, 15_000);
 
 /// Size of a run.
 #[derive(Clone, Copy, Debug)]
@@ -131,8 +132,8 @@
             world.report(number, "ready", 1);
         }
         world.configure(1);
-        let addresses: Vec<[SocketAddr; 3]> =
-            (0..shape.instances).map(|_| free_addresses()).collect();
+        let addresses = (0..shape.instances).map(|_| free_addresses());
+        let addresses: Vec<[SocketAddr; 3]> = addresses.collect::<io::Result<_>>()?;
         let seeds: Vec<String> = addresses.iter().take(3).map(|a| a[1].to_string()).collect();
         for (number, address) in addresses.iter().enumerate() {
             let instance = world.start(number, address, &seeds).await?;
@@ -148,25 +149,21 @@
         seeds: &[String],
     ) -> io::Result<Instance> {
         let to_store = FaultProxy::new(self.store.address).await?;
-        let settings = json!({
-            "instance": format!("i{number}"),
-            "data_centre": format!("dc{}", number % 2),
-            "regions": { "dc0": "r", "dc1": "r" },
-            "processor_share": 0.2,
-            "caller_address": caller.to_string(),
-            "rpc_address": rpc.to_string(),
-            "admin_address": admin.to_string(),
-            "platform": "store",
-            "platform_address": to_store.address.to_string(),
-            "seeds": seeds,
-            "principals": [],
-            "drain_ms": 400,
-            "stop_s": 4,
-            "retry_slack": 20,
-        });
+        let settings = StoreInstance {
+            name: &format!("i{number}"),
+            data_centre: DATA_CENTRES[number % 2],
+            data_centres: &DATA_CENTRES,
+            caller,
+            rpc,
+            admin,
+            store: to_store.address,
+            seeds,
+            drain_ms: DRAIN_MS,
+        };
+        let settings = settings.text();
         let file = self.folder.join(format!("i{number}.json"));
         let log = self.folder.join(format!("i{number}.log"));
-        fs::write(&file, settings.to_string())?;
+        fs::write(&file, settings)?;
         Ok(Instance {
             caller,
             admin,
@@ -190,7 +187,7 @@
         self.store.report(&ServerEntry {
             id: &id,
             address: self.servers[server].proxy.address,
-            data_centre: &format!("dc{}", server % 2),
+            data_centre: DATA_CENTRES[server % 2],
             state,
             sequence,
         });
@@ -220,16 +217,10 @@
         .spawn()
 }
 
-fn free_addresses() -> [SocketAddr; 3] {
-    let mut found = Vec::new();
-    let mut held = Vec::new();
-    while found.len() < 3 {
-        let port = FIRST_PORT + fastrand::u16(0..PORT_COUNT);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if let Ok(listener) = TcpListener::bind(address) {
-            held.push(listener);
-            found.push(address);
-        }
-    }
-    [found[0], found[1], found[2]]
+fn free_addresses() -> io::Result<[SocketAddr; 3]> {
+    Ok([
+        PORTS.free_address()?,
+        PORTS.free_address()?,
+        PORTS.free_address()?,
+    ])
 }
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         backend_answer::{work_answer, Work},
-        server::{clock_ms, full, serve, Answer},
+        server::{clock_ms, full, serve, Answer, Running, Shared},
     },
     http_body_util::BodyExt,
     hyper::{body::Incoming, header::HeaderValue, Method, Request},
@@ -15,13 +15,10 @@
         collections::HashMap,
         io,
         net::SocketAddr,
-        sync::{
-            atomic::{AtomicU32, Ordering},
-            Arc, Mutex, MutexGuard, PoisonError,
-        },
+        sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::time::sleep,
     wire::from_text,
 };
 
@@ -114,46 +111,31 @@
 
 #[derive(Debug, Default)]
 struct State {
+    name: String,
     knobs: BackendKnobs,
+    in_flight: u32,
     arrivals: Vec<Arrival>,
     runs: HashMap<String, Runs>,
     started_count: u64,
 }
 
-#[derive(Debug)]
-struct Shared {
-    name: String,
-    state: Mutex<State>,
-    in_flight: AtomicU32,
-}
-
 /// A running stand-in of a backend server.
 #[derive(Debug)]
 pub struct Backend {
     /// Where it listens.
     pub address: SocketAddr,
-    shared: Arc<Shared>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for Backend {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    shared: Arc<Shared<State>>,
+    _running: Running,
 }
 
-struct Slot(Arc<Shared>);
+struct Slot(Arc<Shared<State>>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.0.lock().in_flight -= 1;
     }
 }
 
-fn lock(shared: &Shared) -> MutexGuard<'_, State> {
-    shared.state.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Backend {
     /// Starts the stand-in on `address`.
     ///
@@ -161,13 +143,10 @@
     ///
     /// The address can't be bound.
     pub async fn new(name: &str, address: SocketAddr, knobs: BackendKnobs) -> io::Result<Self> {
-        let shared = Arc::new(Shared {
+        let shared = Shared::new(State {
             name: name.to_owned(),
-            state: Mutex::new(State {
-                knobs,
-                ..State::default()
-            }),
-            in_flight: AtomicU32::new(0),
+            knobs,
+            ..State::default()
         });
         let for_calls = Arc::clone(&shared);
         let handle = move |request| answer(Arc::clone(&for_calls), request);
@@ -175,7 +154,7 @@
         Ok(Self {
             address,
             shared,
-            task,
+            _running: Running(task),
         })
     }
 
@@ -184,26 +163,26 @@
     where
         Turn: FnOnce(&mut BackendKnobs),
     {
-        turn(&mut lock(&self.shared).knobs);
+        turn(&mut self.shared.lock().knobs);
     }
 
     /// Tells whether it has no gray fault.
     pub fn is_well(&self) -> bool {
-        lock(&self.shared).knobs.gray == Gray::None
+        self.shared.lock().knobs.gray == Gray::None
     }
 
     /// Copies the arrivals of work, oldest first.
     pub fn arrivals(&self) -> Vec<Arrival> {
-        lock(&self.shared).arrivals.clone()
+        self.shared.lock().arrivals.clone()
     }
 
     /// Copies what became of each request id.
     pub fn runs(&self) -> HashMap<String, Runs> {
-        lock(&self.shared).runs.clone()
+        self.shared.lock().runs.clone()
     }
 }
 
-async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Option<Answer> {
+async fn answer(shared: Arc<Shared<State>>, request: Request<Incoming>) -> Option<Answer> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/_health") => Some(full(200, "ok")),
         (&Method::GET, "/_load") => Some(load(&shared)),
@@ -212,24 +191,24 @@
     }
 }
 
-async fn turn_over_http(shared: &Shared, request: Request<Incoming>) -> Option<Answer> {
+async fn turn_over_http(shared: &Shared<State>, request: Request<Incoming>) -> Option<Answer> {
     let text = request.into_body().collect().await.ok()?.to_bytes();
     Some(match from_text::<BackendKnobs>("knobs", &text) {
         Ok(knobs) => {
-            lock(shared).knobs = knobs;
+            shared.lock().knobs = knobs;
             full(200, "ok")
         }
         Err(error) => full(400, error.to_string()),
     })
 }
 
-fn load(shared: &Shared) -> Answer {
-    let knobs = lock(shared).knobs.clone();
-    let in_flight = shared.in_flight.load(Ordering::SeqCst);
+fn load(shared: &Shared<State>) -> Answer {
+    let state = shared.lock();
+    let knobs = &state.knobs;
     let shown = if knobs.load_lies {
         knobs.slots
     } else {
-        in_flight
+        state.in_flight
     };
     full(
         200,
@@ -240,13 +219,16 @@
     )
 }
 
-async fn work(shared: Arc<Shared>, request: Request<Incoming>) -> Option<Answer> {
-    let before = shared.in_flight.fetch_add(1, Ordering::SeqCst);
+async fn work(shared: Arc<Shared<State>>, request: Request<Incoming>) -> Option<Answer> {
+    let (before, proves, name) = {
+        let mut state = shared.lock();
+        state.in_flight += 1;
+        (state.in_flight - 1, state.knobs.proves, state.name.clone())
+    };
     let _slot = Slot(Arc::clone(&shared));
     let mut work = Work::new(&request);
-    let proves = lock(&shared).knobs.proves;
     let meant = request.headers().get("target-instance");
-    if proves && meant.is_some_and(|meant| meant != shared.name.as_str()) {
+    if proves && meant.is_some_and(|meant| meant != name.as_str()) {
         return Some(full(421, "another server"));
     }
     let knobs = admit(&shared, &work, before);
@@ -269,15 +251,11 @@
     sleep(service).await;
     let failed = fastrand::u32(0..1_000) < knobs.noise_permille;
     work.service_us = started.elapsed().as_micros() as u64;
-    if let Some(runs) = lock(&shared).runs.get_mut(&work.id) {
+    if let Some(runs) = shared.lock().runs.get_mut(&work.id) {
         // The timer is a millisecond coarse, which is the server's time and not the proxy's.
         runs.planned_us = runs.planned_us.max(work.service_us);
     }
-    let answer = work_answer(
-        &work,
-        &shared.name,
-        if failed { Gray::Errors } else { gray },
-    );
+    let answer = work_answer(&work, &name, if failed { Gray::Errors } else { gray });
     Some(if proves {
         // An answer that belongs to another request bears that one's id and proof.
         let id = if gray == Gray::Mixed && !failed {
@@ -285,7 +263,7 @@
         } else {
             work.id.as_str()
         };
-        prove(answer, id, &shared.name)
+        prove(answer, id, &name)
     } else if knobs.draining {
         mark(answer, "x-draining")
     } else {
@@ -294,8 +272,8 @@
 }
 
 /// Books the arrival; returns nothing if it is shed, else the knobs and the time to work, in microseconds.
-fn admit(shared: &Shared, work: &Work, before: u32) -> Option<(BackendKnobs, u64)> {
-    let mut state = lock(shared);
+fn admit(shared: &Shared<State>, work: &Work, before: u32) -> Option<(BackendKnobs, u64)> {
+    let mut state = shared.lock();
     let shed = before >= state.knobs.slots;
     state.arrivals.push(Arrival {
         at: Instant::now(),
--- a/crates/standin/src/entries.rs
+++ b/crates/standin/src/entries.rs
@@ -4,7 +4,7 @@
     crate::Store,
     hyper::HeaderMap,
     serde_json::{json, Value},
-    std::net::SocketAddr,
+    std::{collections::HashMap, net::SocketAddr},
 };
 
 /// Host of the routes.
@@ -70,6 +70,54 @@
     }
 }
 
+/// An instance that runs on the store's platform.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreInstance<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its data centre.
+    pub data_centre: &'a str,
+    /// All data centres; they are in one region.
+    pub data_centres: &'a [&'a str],
+    /// Listens for callers.
+    pub caller: SocketAddr,
+    /// Listens for other instances.
+    pub rpc: SocketAddr,
+    /// Listens for operators.
+    pub admin: SocketAddr,
+    /// The store, or a proxy in front of it.
+    pub store: SocketAddr,
+    /// Other instances, asked while none is known.
+    pub seeds: &'a [String],
+    /// Time for which it still takes callers once it stops, in milliseconds.
+    pub drain_ms: u64,
+}
+
+impl StoreInstance<'_> {
+    /// Writes its settings.
+    pub fn text(&self) -> String {
+        let regions = self.data_centres.iter();
+        let regions: HashMap<&str, &str> = regions.map(|name| (*name, "r")).collect();
+        let settings = json!({
+            "instance": self.name,
+            "data_centre": self.data_centre,
+            "regions": regions,
+            "processor_share": 0.2,
+            "caller_address": self.caller.to_string(),
+            "rpc_address": self.rpc.to_string(),
+            "admin_address": self.admin.to_string(),
+            "platform": "store",
+            "platform_address": self.store.to_string(),
+            "seeds": self.seeds,
+            "principals": [],
+            "drain_ms": self.drain_ms,
+            "stop_s": 4,
+            "retry_slack": 20,
+        });
+        settings.to_string()
+    }
+}
+
 /// Returns the headers of a caller's request.
 pub fn caller_headers(id: &str, deadline_ms: u64) -> [(&'static str, String); 3] {
     [
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -4,7 +4,7 @@
 //! connections go silent for good while new ones work.
 
 use {
-    crate::server::{full, serve, Answer},
+    crate::server::{full, serve, Answer, Running},
     http_body_util::BodyExt,
     hyper::{body::Incoming, Method, Request},
     serde::{Deserialize, Serialize},
@@ -24,7 +24,6 @@
             TcpListener, TcpStream,
         },
         sync::{mpsc, watch},
-        task::JoinHandle,
         time::{sleep_until, Instant},
     },
     wire::from_text,
@@ -58,13 +57,7 @@
     pub address: SocketAddr,
     knobs: Arc<watch::Sender<FaultKnobs>>,
     carried_bytes: Arc<AtomicU64>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for FaultProxy {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    _running: Running,
 }
 
 impl FaultProxy {
@@ -87,7 +80,7 @@
             address,
             knobs,
             carried_bytes,
-            task,
+            _running: Running(task),
         })
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,15 +9,17 @@
 mod fault;
 mod log_store;
 mod platform;
+mod ports;
 mod server;
 mod store;
 
 pub use crate::{
     backend::{Arrival, Backend, BackendKnobs, Gray, Runs},
-    entries::{caller_headers, is_own_answer, ServerEntry, STORE_HOST},
+    entries::{caller_headers, is_own_answer, ServerEntry, StoreInstance, STORE_HOST},
     fault::{FaultKnobs, FaultProxy},
     log_store::LogRecordText,
     platform::{Platform, PlatformKnobs},
+    ports::Ports,
     server::{clock_ms, full, Answer, BoxedBody},
     store::{Away, Store, StoreKnobs},
 };
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,22 +6,18 @@
 use {
     crate::{
         log_store::LogStore,
-        server::{clock_ms, full, serve, Answer},
+        server::{clock_ms, full, serve, Answer, Running, Shared},
     },
+    config::{queries::digest, Accepted, Entry},
     http_body_util::BodyExt,
     hyper::{body::Incoming, Method, Request},
+    member::{BackendServer, Instance},
     serde::{Deserialize, Serialize},
-    std::{
-        collections::VecDeque,
-        io,
-        net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
-    },
-    tokio::{sync::watch, task::JoinHandle, time::sleep},
+    std::{collections::VecDeque, io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
     wire::{
-        from_text,
-        generated::{AppendAnswer, LogRecord, MemberList, ReadAnswer},
+        convert, from_text,
+        generated::{AppendAnswer, DocumentText, LogRecord, MemberList, ReadAnswer},
         to_text,
     },
 };
@@ -79,19 +75,8 @@
 pub struct Platform {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<Mutex<State>>,
-    changed: Arc<watch::Sender<u64>>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for Platform {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
+    shared: Arc<Shared<State>>,
+    _running: Running,
 }
 
 impl Platform {
@@ -101,16 +86,14 @@
     ///
     /// The address can't be bound.
     pub async fn new(address: SocketAddr) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(State::default()));
-        let changed = Arc::new(watch::channel(0).0);
-        let (for_calls, for_waits) = (Arc::clone(&state), Arc::clone(&changed));
-        let handle = move |request| answer(Arc::clone(&for_calls), Arc::clone(&for_waits), request);
+        let shared = Shared::new(State::default());
+        let for_calls = Arc::clone(&shared);
+        let handle = move |request| answer(Arc::clone(&for_calls), request);
         let (address, task) = serve(address, handle).await?;
         Ok(Self {
             address,
-            state,
-            changed,
-            task,
+            shared,
+            _running: Running(task),
         })
     }
 
@@ -119,33 +102,47 @@
     where
         Turn: FnOnce(&mut PlatformKnobs),
     {
-        turn(&mut lock(&self.state).knobs);
+        turn(&mut self.shared.lock().knobs);
     }
 
     /// Publishes a new list of members, seen after the list's lag; its version is set here.
-    pub fn list(&self, members: MemberList) {
-        publish(&self.state, members);
+    pub fn list(&self, instances: &[Instance], servers: &[BackendServer]) {
+        publish(&self.shared, convert::member_list(0, instances, servers));
+    }
+
+    /// Puts a document in the log as accepted, as version 1.
+    pub fn accept(&self, document: &DocumentText) {
+        let document = convert::document_from_text(document);
+        let snapshot = Entry::Snapshot(Accepted {
+            version: 1,
+            digest: digest(&document),
+            through_offset: 0,
+            document,
+        });
+        self.append("config", &to_text(&convert::config_record(&snapshot, 1)));
     }
 
     /// Drops all records of `stream` at once.
     pub fn trim(&self, stream: &str) {
-        if let Some(stream) = lock(&self.state).log.streams.get_mut(stream) {
+        if let Some(stream) = self.shared.lock().log.streams.get_mut(stream) {
             stream.trim(u64::MAX);
         }
     }
 
     /// Appends a record from outside, as an operator's tool would.
     pub fn append(&self, stream: &str, body: &str) -> u64 {
-        let offset = lock(&self.state)
+        let offset = self
+            .shared
+            .lock()
             .log
             .append(stream, body.to_owned(), clock_ms());
-        self.changed.send_modify(|count| *count += 1);
+        self.shared.wake();
         offset
     }
 
     /// Copies the kept records of `stream` with their offsets.
     pub fn records(&self, stream: &str) -> Vec<LogRecord> {
-        let state = lock(&self.state);
+        let state = self.shared.lock();
         state
             .log
             .streams
@@ -164,28 +161,24 @@
 
     /// Returns how many appends were taken and how many were refused for their rate.
     pub fn append_counts(&self) -> (u64, u64) {
-        let state = lock(&self.state);
+        let state = self.shared.lock();
         (state.appended_count, state.refused_count)
     }
 }
 
-fn publish(state: &Mutex<State>, mut members: MemberList) {
-    let mut state = lock(state);
+fn publish(shared: &Shared<State>, mut members: MemberList) {
+    let mut state = shared.lock();
     state.list_version += 1;
     members.version = state.list_version;
     state.lists.push_back((clock_ms(), members));
 }
 
-async fn answer(
-    state: Arc<Mutex<State>>,
-    changed: Arc<watch::Sender<u64>>,
-    request: Request<Incoming>,
-) -> Option<Answer> {
+async fn answer(shared: Arc<Shared<State>>, request: Request<Incoming>) -> Option<Answer> {
     let path = request.uri().path().to_owned();
     if request.method() == Method::PUT {
-        return Some(control(&state, &path, request).await);
+        return Some(control(&shared, &path, request).await);
     }
-    let knobs = lock(&state).knobs.clone();
+    let knobs = shared.lock().knobs.clone();
     let is_list = path == "/members";
     if if is_list { knobs.list_away } else { knobs.away } {
         return Some(full(503, "away"));
@@ -193,7 +186,7 @@
     sleep(Duration::from_millis(knobs.slow_ms)).await;
     if is_list {
         let known = parameter(request.uri().query().unwrap_or_default(), "known=");
-        let list = members(&state, knobs.list_lag_ms);
+        let list = members(&shared, knobs.list_lag_ms);
         return Some(if known == list.version {
             full(304, "")
         } else {
@@ -202,14 +195,14 @@
     }
     let stream = path.strip_prefix("/streams/")?.to_owned();
     if request.method() == Method::POST {
-        return append(&state, &changed, &stream, request).await;
+        return append(&shared, &stream, request).await;
     }
     let query = request.uri().query().unwrap_or_default();
     let (from, wait_ms) = (parameter(query, "from="), parameter(query, "wait_ms="));
-    Some(read(&state, &changed, &stream, from, wait_ms).await)
+    Some(read(&shared, &stream, from, wait_ms).await)
 }
 
-async fn control(state: &Mutex<State>, path: &str, request: Request<Incoming>) -> Answer {
+async fn control(shared: &Shared<State>, path: &str, request: Request<Incoming>) -> Answer {
     let Ok(body) = request.into_body().collect().await else {
         return full(400, "body cut");
     };
@@ -217,14 +210,14 @@
     match path {
         "/members" => match from_text::<MemberList>("member list", &text) {
             Ok(members) => {
-                publish(state, members);
+                publish(shared, members);
                 full(200, "ok")
             }
             Err(error) => full(400, error.to_string()),
         },
         "/knobs" => match from_text::<PlatformKnobs>("knobs", &text) {
             Ok(knobs) => {
-                lock(state).knobs = knobs;
+                shared.lock().knobs = knobs;
                 full(200, "ok")
             }
             Err(error) => full(400, error.to_string()),
@@ -233,8 +226,8 @@
     }
 }
 
-fn members(state: &Mutex<State>, lag_ms: u64) -> MemberList {
-    let mut state = lock(state);
+fn members(shared: &Shared<State>, lag_ms: u64) -> MemberList {
+    let mut state = shared.lock();
     let seen_ms = clock_ms().saturating_sub(lag_ms);
     while state.lists.len() > 1 && state.lists[1].0 <= seen_ms {
         state.lists.pop_front();
@@ -250,15 +243,14 @@
 }
 
 async fn append(
-    state: &Mutex<State>,
-    changed: &watch::Sender<u64>,
+    shared: &Shared<State>,
     stream: &str,
     request: Request<Incoming>,
 ) -> Option<Answer> {
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let body = String::from_utf8(body.to_vec()).ok()?;
     let (offset, lost) = {
-        let mut state = lock(state);
+        let mut state = shared.lock();
         let now_ms = clock_ms();
         while state
             .append_window
@@ -278,22 +270,16 @@
         state.log.trim(now_ms.saturating_sub(keep_ms));
         (state.log.append(stream, body, now_ms), lost)
     };
-    changed.send_modify(|count| *count += 1);
+    shared.wake();
     // Without an answer the connection is cut, after the append took effect.
     (!lost).then(|| full(200, to_text(&AppendAnswer { offset })))
 }
 
-async fn read(
-    state: &Mutex<State>,
-    changed: &watch::Sender<u64>,
-    stream: &str,
-    from: u64,
-    wait_ms: u64,
-) -> Answer {
-    let mut changes = changed.subscribe();
+async fn read(shared: &Shared<State>, stream: &str, from: u64, wait_ms: u64) -> Answer {
+    let mut changes = shared.changed.subscribe();
     let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        let (status, answer) = stretch(state, stream, from);
+        let (status, answer) = stretch(shared, stream, from);
         if status != 200 || !answer.records.is_empty() || tokio::time::Instant::now() >= until {
             return full(status, to_text(&answer));
         }
@@ -302,8 +288,8 @@
     }
 }
 
-fn stretch(state: &Mutex<State>, stream: &str, from: u64) -> (u16, ReadAnswer) {
-    let mut state = lock(state);
+fn stretch(shared: &Shared<State>, stream: &str, from: u64) -> (u16, ReadAnswer) {
+    let mut state = shared.lock();
     let now_ms = clock_ms();
     let keep_ms = state.knobs.retention_ms;
     let stream = state.log.streams.entry(stream.to_owned()).or_default();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -10,9 +10,10 @@
         future::Future,
         io,
         net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{SystemTime, UNIX_EPOCH},
     },
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::{net::TcpListener, sync::watch, task::JoinHandle},
 };
 
 /// Body of a stand-in's answer; an error cuts the connection.
@@ -35,6 +36,41 @@
     answer
 }
 
+/// State that a stand-in shares with its calls, and the wake-up of those that wait for a change of it.
+#[derive(Debug)]
+pub(crate) struct Shared<State> {
+    state: Mutex<State>,
+    pub(crate) changed: watch::Sender<u64>,
+}
+
+impl<State> Shared<State> {
+    pub(crate) fn new(state: State) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(state),
+            changed: watch::channel(0).0,
+        })
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes whoever waits for a change.
+    pub(crate) fn wake(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
+
+/// A task that ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Running(pub(crate) JoinHandle<()>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Serves `handle` on `address` until the task is aborted.
 pub(crate) async fn serve<Handle, Answering>(
     address: SocketAddr,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -5,7 +5,7 @@
 //! record is in the topic before its answer is given, lost, or held back.
 
 use {
-    crate::server::{full, serve, Answer},
+    crate::server::{full, serve, Answer, Running, Shared},
     base64::{prelude::BASE64_STANDARD, Engine},
     bytes::{BufMut, Bytes, BytesMut},
     http_body_util::BodyExt,
@@ -15,10 +15,10 @@
         collections::{BTreeMap, HashMap},
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::Arc,
         time::Duration,
     },
-    tokio::{sync::watch, task::JoinHandle, time::sleep},
+    tokio::time::sleep,
 };
 
 /// Most keys on one page of the newest records.
@@ -88,19 +88,8 @@
 pub struct Store {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<Mutex<State>>,
-    changed: Arc<watch::Sender<u64>>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for Store {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
+    shared: Arc<Shared<State>>,
+    _running: Running,
 }
 
 impl Store {
@@ -110,16 +99,14 @@
     ///
     /// The address can't be bound.
     pub async fn new(address: SocketAddr) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(State::default()));
-        let changed = Arc::new(watch::channel(0).0);
-        let (for_calls, for_waits) = (Arc::clone(&state), Arc::clone(&changed));
-        let handle = move |request| answer(Arc::clone(&for_calls), Arc::clone(&for_waits), request);
+        let shared = Shared::new(State::default());
+        let for_calls = Arc::clone(&shared);
+        let handle = move |request| answer(Arc::clone(&for_calls), request);
         let (address, task) = serve(address, handle).await?;
         Ok(Self {
             address,
-            state,
-            changed,
-            task,
+            shared,
+            _running: Running(task),
         })
     }
 
@@ -128,7 +115,7 @@
     where
         Turn: FnOnce(&mut StoreKnobs),
     {
-        turn(&mut lock(&self.state).knobs);
+        turn(&mut self.shared.lock().knobs);
     }
 
     /// Writes a record from outside, as an operator or a backend server does; without a value its key is dropped.
@@ -142,16 +129,16 @@
 
     /// Writes a record as it is.
     pub fn put_raw(&self, topic: &str, record: Bytes) {
-        let mut state = lock(&self.state);
+        let mut state = self.shared.lock();
         let topic = state.topics.entry(topic.to_owned()).or_default();
         topic.append(record);
         drop(state);
-        self.changed.send_modify(|count| *count += 1);
+        self.shared.wake();
     }
 
     /// Drops the history of a topic; the newest of each key stays.
     pub fn compact(&self, topic: &str) {
-        if let Some(topic) = lock(&self.state).topics.get_mut(topic) {
+        if let Some(topic) = self.shared.lock().topics.get_mut(topic) {
             topic.first = topic.end();
             topic.records.clear();
         }
@@ -159,24 +146,20 @@
 
     /// Returns the newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
-        let state = lock(&self.state);
+        let state = self.shared.lock();
         let value = state.topics.get(topic)?.newest.get(key)?;
         Some(String::from_utf8_lossy(value).into_owned())
     }
 
     /// Returns how many calls came.
     pub fn call_count(&self) -> u64 {
-        lock(&self.state).call_count
+        self.shared.lock().call_count
     }
 }
 
-async fn answer(
-    state: Arc<Mutex<State>>,
-    changed: Arc<watch::Sender<u64>>,
-    request: Request<Incoming>,
-) -> Option<Answer> {
+async fn answer(shared: Arc<Shared<State>>, request: Request<Incoming>) -> Option<Answer> {
     let knobs = {
-        let mut state = lock(&state);
+        let mut state = shared.lock();
         state.call_count += 1;
         state.knobs
     };
@@ -191,21 +174,20 @@
     match (request.method(), request.uri().path()) {
         (&Method::POST, "/log-append") => {
             let body = request.into_body().collect().await.ok()?.to_bytes();
-            append(&state, &changed, &topic, body, knobs).await
+            append(&shared, &topic, body, knobs).await
         }
         (&Method::GET, "/log-newest") => Some(newest(
-            &state,
+            &shared,
             &topic,
             query.get("after").map(String::as_str),
         )),
-        (&Method::GET, "/log-read") => Some(read(&state, &changed, &topic, &query).await),
+        (&Method::GET, "/log-read") => Some(read(&shared, &topic, &query).await),
         _ => Some(full(404, "no such call")),
     }
 }
 
 async fn append(
-    state: &Arc<Mutex<State>>,
-    changed: &Arc<watch::Sender<u64>>,
+    shared: &Arc<Shared<State>>,
     topic: &str,
     body: Bytes,
     knobs: StoreKnobs,
@@ -214,16 +196,16 @@
         return Some(full(400, "records are not framed"));
     };
     let lost = fastrand::u32(0..100) < knobs.lose_answers_percent;
-    let (state, changed) = (Arc::clone(state), Arc::clone(changed));
+    let shared = Arc::clone(shared);
     let topic = topic.to_owned();
     let write = move || {
-        let mut locked = lock(&state);
+        let mut locked = shared.lock();
         let topic = locked.topics.entry(topic).or_default();
         let offset = topic.end();
         records.into_iter().for_each(|record| topic.append(record));
         let end = topic.end();
         drop(locked);
-        changed.send_modify(|count| *count += 1);
+        shared.wake();
         json!({ "offset": offset, "end": end })
     };
     if !lost {
@@ -237,8 +219,8 @@
     None
 }
 
-fn newest(state: &Mutex<State>, topic: &str, after: Option<&str>) -> Answer {
-    let mut state = lock(state);
+fn newest(shared: &Shared<State>, topic: &str, after: Option<&str>) -> Answer {
+    let mut state = shared.lock();
     let topic = state.topics.entry(topic.to_owned()).or_default();
     let mut rows = topic
         .newest
@@ -254,32 +236,27 @@
     full(200, page.to_string())
 }
 
-async fn read(
-    state: &Mutex<State>,
-    changed: &watch::Sender<u64>,
-    topic: &str,
-    query: &HashMap<String, String>,
-) -> Answer {
+async fn read(shared: &Shared<State>, topic: &str, query: &HashMap<String, String>) -> Answer {
     let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
     let from: u64 = number("from").unwrap_or_default();
     let wait_ms = number("wait_ms").unwrap_or_default();
-    let mut watched = changed.subscribe();
+    let mut watched = shared.changed.subscribe();
     let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        if let Some(answer) = read_now(state, topic, from, false) {
+        if let Some(answer) = read_now(shared, topic, from, false) {
             return answer;
         }
         if tokio::time::timeout_at(until, watched.changed())
             .await
             .is_err()
         {
-            return read_now(state, topic, from, true).unwrap_or_else(|| full(500, ""));
+            return read_now(shared, topic, from, true).unwrap_or_else(|| full(500, ""));
         }
     }
 }
 
-fn read_now(state: &Mutex<State>, topic: &str, from: u64, may_be_empty: bool) -> Option<Answer> {
-    let mut state = lock(state);
+fn read_now(shared: &Shared<State>, topic: &str, from: u64, may_be_empty: bool) -> Option<Answer> {
+    let mut state = shared.lock();
     let topic = state.topics.entry(topic.to_owned()).or_default();
     if from < topic.first {
         return Some(full(410, json!({ "first": topic.first }).to_string()));
--- a/crates/stream/tests/append.rs
+++ b/crates/stream/tests/append.rs
@@ -8,7 +8,6 @@
         queries::{members, read},
         AppendError, Platform, ReadError,
     },
-    wire::generated::MemberList,
 };
 
 async fn stand_in() -> StandIn {
@@ -113,12 +112,7 @@
 #[tokio::test]
 async fn members_known_version() {
     let log = stand_in().await;
-    let list = MemberList {
-        version: 0,
-        instances: Vec::new(),
-        servers: Vec::new(),
-    };
-    log.list(list);
+    log.list(&[], &[]);
     let platform = Platform::new(log.address);
     let first = members(&platform, 0)
         .await
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -11,5 +11,5 @@
         config_entry, config_record, document_from_text, document_text, finding_texts, plain_route,
     },
     ejections::{ejection_record, ejection_text},
-    members::{delta, instance, instance_text, sync_answer, view},
+    members::{delta, instance, instance_text, member_list, sync_answer, view},
 };
--- a/crates/wire/src/convert/members.rs
+++ b/crates/wire/src/convert/members.rs
@@ -26,6 +26,15 @@
     Ok(View::new(list.version, instances, servers))
 }
 
+/// Writes the platform's list.
+pub fn member_list(version: u64, instances: &[Instance], servers: &[BackendServer]) -> MemberList {
+    MemberList {
+        version,
+        instances: instances.iter().map(instance_text).collect(),
+        servers: servers.iter().map(server_text).collect(),
+    }
+}
+
 /// Reads what another instance says has changed.
 ///
 /// # Errors
