--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::commands::left_out_lines,
+    log::warn,
     prometheus::{
-        core::Collector, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+        core::Collector, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
         IntGaugeVec, Opts, Registry, TextEncoder,
     },
 };
@@ -115,12 +116,11 @@
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
         self.log_left_out.set(left_out_lines() as i64);
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        if encoded.is_err() {
-            return String::new();
-        }
-        String::from_utf8(text).unwrap_or_default()
+        let encoded = TextEncoder::new().encode_to_string(&self.registry.gather());
+        encoded.unwrap_or_else(|error| {
+            warn!("the metrics can't be written: {error}");
+            String::new()
+        })
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -190,6 +190,7 @@
 
 /// Returns the wall clock, in milliseconds since 1970.
 pub(crate) fn wall_ms() -> u64 {
+    // A clock before 1970 was never set; ages reckoned from it are wrong in any case.
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64)
