Let requests wait for what an instance that has just started is about to learn

Ruled out: suspects drawn too early.

Change: requests wait for the first configuration and list until 1.2 s after the start of the process, not longer; an instance that knows nothing itself answers another that knows nothing when it knows all, or at the end of the wait.

The wait is bound to the start, so that with the platform away requests are refused at once.

--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -26,6 +26,9 @@
 const STORE_DEADLINE_MS: u64 = 600_000;
 /// Largest answer held until it is whole where the platform names none, in bytes; as much as a held upload.
 const STORE_HOLD_BYTES: u64 = 512 * 1024;
+/// Time after the start in which requests wait for the first configuration and list, in milliseconds: even in a fleet
+/// of hundreds that started at once these come within a second; where they do not, refusing is better.
+const START_HOLD_MS: u64 = 1_200;
 /// Largest head of a request before a configuration is known, in bytes.
 const HEADER_BYTES: usize = 64 * 1024;
 /// Time for which an idle connection is kept before a configuration is known, in milliseconds.
@@ -161,6 +164,17 @@
     path
 }
 
+/// Lets a request that comes to a node which has just started wait for what the node is about to learn.
+async fn hold_while_starting(node: &Node) {
+    let left_ms = START_HOLD_MS.saturating_sub(node.now_ms());
+    if left_ms == 0 {
+        return;
+    }
+    if let Some(feed) = node.feed.get() {
+        feed::queries::await_all(feed, left_ms).await;
+    }
+}
+
 /// Makes what the callers' front end calls.
 pub(crate) fn callers(node: &Arc<Node>, path: Arc<Path>) -> Callers {
     let share = || Arc::clone(node);
@@ -169,6 +183,7 @@
         run: Box::new(move |incoming| {
             let (node, path) = (Arc::clone(&for_run), Arc::clone(&path));
             Box::pin(async move {
+                hold_while_starting(&node).await;
                 let Some(in_force) = node.current.load_full() else {
                     return Answer::own(ResultCode::NoConfiguration);
                 };
--- a/crates/daemon/tests/store.rs
+++ b/crates/daemon/tests/store.rs
@@ -103,6 +103,23 @@
     assert!(!reply.body.contains("someone-else"), "{}", reply.body);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn request_to_a_starting_instance() {
+    let mut system = StoreSystem::new("store-starting", 1).await;
+    system.store.turn(|knobs| knobs.slow_ms = 150);
+    system.processes[0].restart();
+    let system = &system;
+    // Connections are refused until it listens; from then on nothing is refused for want of a configuration.
+    wait_for(|| async move {
+        let reply = system.ask(0, Method::GET, "/read/1", "first").await;
+        reply.is_some_and(|reply| {
+            assert_eq!(reply.status, 200, "{}", reply.body);
+            true
+        })
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn restart_while_store_is_away() {
     let mut system = StoreSystem::new("store-away", 3).await;
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -21,6 +21,11 @@
     feed.lists.with(0, |lists| lists.as_of_ms.is_some())
 }
 
+/// Tells whether both a configuration and a whole list of servers are known.
+fn knows_all(feed: &Feed) -> bool {
+    (feed.hooks.config_version)() > 0 && is_complete(feed)
+}
+
 /// Returns the time since both the list of servers and the configuration were heard of the platform, in milliseconds.
 pub fn source_age_ms(feed: &Feed) -> u64 {
     let now_ms = feed.now_ms();
@@ -34,6 +39,16 @@
     age_ms.max(if is_failing { STALE_MS } else { 0 })
 }
 
+/// Waits until a configuration and a whole list of servers are known, for `limit_ms` at most.
+pub async fn await_all(feed: &Feed, limit_ms: u64) {
+    let mut changed = feed.changed.subscribe();
+    let wait = async {
+        while !knows_all(feed) && changed.changed().await.is_ok() {}
+    };
+    // Who waits looks for itself at what is known then.
+    let _ = timeout(Duration::from_millis(limit_ms), wait).await;
+}
+
 /// Tells another instance what changed, as soon as something has or the time that it gives has passed.
 pub async fn sync_answer(feed: &Feed, ask: &SyncAsk) -> SyncAnswer {
     let mut changed = feed.changed.subscribe();
@@ -72,6 +87,10 @@
 }
 
 fn has_news(feed: &Feed, known_version: u64, known_list: u64) -> bool {
+    if known_version == 0 && !knows_all(feed) {
+        // Both have just started: half of the news would send the asker elsewhere, and the rest is on its way.
+        return feed.lists.with(0, |lists| !lists.failing.is_empty());
+    }
     let is_changed = feed.lists.with(0, |lists| {
         !lists.failing.is_empty() || roster_queries::list_version(&lists.roster) != known_list
     });
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -224,3 +224,29 @@
         own: instance_text(&instance("i2")),
     }
 }
+
+#[tokio::test]
+async fn sync_answer_waits_while_both_start() {
+    // Whoever asks one that has just started gets one answer with everything, not at once one without it.
+    let fakes = Arc::new(Fakes::default());
+    let feed = feed(&fakes, "a1");
+    let ask = SyncAsk {
+        known_version: 0,
+        feed: 0,
+        known_list: 0,
+        wait_ms: 2_000,
+        own: instance_text(&instance("a2")),
+        list_digest: 0,
+    };
+    note_asker(&feed, &ask.own);
+    let asked = Instant::now();
+    let (answer, ()) = tokio::join!(sync_answer(&feed, &ask), async {
+        sleep(Duration::from_millis(100)).await;
+        tokio::spawn(follow(Arc::clone(&feed)));
+    });
+    assert!(answer.source_age_ms < 1_000, "{answer:?}");
+    assert!(
+        asked.elapsed() < Duration::from_millis(1_500),
+        "{answer:?}"
+    );
+}
