Let large instances own most pools and pass changes on

Cause: on the grown sites two machines of a data centre have half a core and 200 Mbit/s, the other 33 to 46 have 0.07 cores and 10 Mbit/s. Rendezvous order weighed by processor share gave the large ones 23 % of the pools and of the relaying; a small owner of a pool with 130 requests a second has no processor time left, and a small relay needs 1.5 s of its link to give 40 others a whole list after a restart.

Change: the weight is the cube of the share.

--- a/crates/member/src/queries/view.rs
+++ b/crates/member/src/queries/view.rs
@@ -14,6 +14,9 @@
 const RENDEZVOUS_SEED: u64 = 0x6361_746b;
 /// Task of reading the platform for others.
 const FEED_TASK: &str = "feed";
+/// Power of an instance's capacity by which tasks fall to it: a pool's work does not shrink with its owner, and where
+/// two of fifty instances have seven times the capacity of the others, these two are to have most pools.
+const CAPACITY_POWER: i32 = 3;
 /// Instances that others turn to; the first reads the platform, the second hears from it and covers for it.
 const FEED_ROOTS: usize = 2;
 /// Live instances from which on one of each data centre passes changes on; below, two can serve all the others.
@@ -30,7 +33,7 @@
 }
 
 /// Returns the live instances of `area` (a data centre or a region) in rendezvous order of (service, area), best
-/// first; an instance comes first in proportion to its capacity.
+/// first; large instances mostly come before small ones.
 pub fn owner_order<'a>(view: &'a View, service: &str, area: &str) -> Vec<&'a Instance> {
     let positions = view.live_in.get(area).map_or(&[][..], Vec::as_slice);
     let mut live: Vec<&Instance> = positions.iter().map(|&at| &view.instances[at]).collect();
@@ -139,12 +142,12 @@
     names
 }
 
-/// The weight of weighted rendezvous hashing, as bits that order like the number: capacity over the negated
-/// logarithm of a number drawn evenly from 0 to 1.
+/// The weight of weighted rendezvous hashing, as bits that order like the number: a power of the capacity over the
+/// negated logarithm of a number drawn evenly from 0 to 1.
 fn weight(instance: &Instance, task: &str, area: &str) -> u64 {
     let drawn = (raw_weight(&instance.name, task, area) >> 11) as f64 + 0.5;
     let share = drawn / (1_u64 << 53) as f64;
-    let capacity = f64::from(instance.capacity_permille.max(1));
+    let capacity = f64::from(instance.capacity_permille.max(1)).powi(CAPACITY_POWER);
     (capacity / -share.ln()).to_bits()
 }
 
--- a/crates/member/tests/member.rs
+++ b/crates/member/tests/member.rs
@@ -34,6 +34,22 @@
     }
 }
 
+#[test]
+fn owner_order_large_instances_first() {
+    // Two instances of half a core among 46 of 0.07 cores, as at a user's.
+    let mut all = instances(48);
+    for (place, instance) in all.iter_mut().enumerate() {
+        instance.capacity_permille = if place < 2 { 500 } else { 70 };
+    }
+    let view = View::new(1, all, Vec::new());
+    let first_is_large = |service: &usize| {
+        let service = format!("s{service}");
+        queries::owner_order(&view, &service, "a")[0].capacity_permille == 500
+    };
+    let large = (0..1_000).filter(first_is_large).count();
+    assert!(large > 900, "{large} of 1000 pools");
+}
+
 #[test]
 fn owner_order_leaving_instance() {
     let mut all = instances(3);
