Spread work over failing servers only where callers are failed for good

Cause: a service whose failures pass 9 % spreads its work over servers that got none within 1.7 s. Failures that a second try makes good were counted, and a server that had just failed was given another request in each window, which kept the share of failures up.

Change: what may be tried again does not count as failed; a server that failed counts as used for 3.7 s, since it is not held to be sound for two of them.

--- a/crates/emu/src/commands/run.rs
+++ b/crates/emu/src/commands/run.rs
@@ -13,7 +13,7 @@
     },
     permit::{
         commands::{note_request, spend, take},
-        queries, Standing, Wish,
+        queries, Lease, Standing, Wish,
     },
     std::{cmp::Reverse, collections::BinaryHeap},
     types::{PermitId, ServerIndex},
@@ -191,9 +191,12 @@
         let permit = take(
             &mut owned.state.pool,
             choice,
-            0,
+            Lease {
+                ask: 0,
+                expires_ms: request.deadline_ms,
+                may_retry: request.is_safe && !is_retry,
+            },
             now_ms,
-            request.deadline_ms,
         );
         start(
             emulation,
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -42,9 +42,7 @@
 /// Waits until a configuration and a whole list of servers are known, for `limit_ms` at most.
 pub async fn await_all(feed: &Feed, limit_ms: u64) {
     let mut changed = feed.changed.subscribe();
-    let wait = async {
-        while !knows_all(feed) && changed.changed().await.is_ok() {}
-    };
+    let wait = async { while !knows_all(feed) && changed.changed().await.is_ok() {} };
     // Who waits looks for itself at what is known then.
     let _ = timeout(Duration::from_millis(limit_ms), wait).await;
 }
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -245,8 +245,5 @@
         tokio::spawn(follow(Arc::clone(&feed)));
     });
     assert!(answer.source_age_ms < 1_000, "{answer:?}");
-    assert!(
-        asked.elapsed() < Duration::from_millis(1_500),
-        "{answer:?}"
-    );
+    assert!(asked.elapsed() < Duration::from_millis(1_500), "{answer:?}");
 }
--- a/crates/owner/src/commands/give.rs
+++ b/crates/owner/src/commands/give.rs
@@ -32,7 +32,8 @@
     };
     let permit = give_back(&mut state.pool, permit, back.whole_us);
     if let Some(server) = state.pool.names.find(back.server) {
-        note_recent(state, back.evidence, now_ms);
+        let may_retry = permit.is_some_and(|permit| permit.may_retry);
+        note_recent(state, server, back.evidence, may_retry, now_ms);
         let known_overdue = permit.is_some_and(|permit| permit.overdue);
         let evidence = once(back.evidence, known_overdue);
         observe(
@@ -60,11 +61,23 @@
     }
 }
 
-fn note_recent(state: &mut PoolState, evidence: Evidence, now_ms: u64) {
+/// Notes how much of the service's work fails for good: what another try may make good is not lost yet.
+fn note_recent(
+    state: &mut PoolState,
+    server: ServerIndex,
+    evidence: Evidence,
+    may_retry: bool,
+    now_ms: u64,
+) {
     match evidence {
         Evidence::Whole { .. } | Evidence::LateWhole { .. } => state.recent.note(false, now_ms),
         Evidence::Failed | Evidence::Overdue | Evidence::Unreachable => {
-            state.recent.note(true, now_ms);
+            if let Some(entry) = state.pool.servers.get_mut(server) {
+                entry.failed_ms = Some(now_ms);
+            }
+            if !may_retry {
+                state.recent.note(true, now_ms);
+            }
         }
         Evidence::Shed | Evidence::Nothing => {}
     }
--- a/crates/owner/src/commands/take.rs
+++ b/crates/owner/src/commands/take.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::PoolState,
-    permit::{commands, queries, Refusal, Spread, Wish},
+    permit::{commands, queries, Lease, Refusal, Spread, Wish},
     std::sync::Arc,
     tokio::sync::Notify,
     types::{PermitId, ServerIndex},
@@ -110,6 +110,7 @@
         commands::forget_old(&mut state.budget, window_ms, now_ms);
         if !queries::may_retry(&state.budget, terms.percent, terms.slack) {
             leave(state, ticket);
+            state.recent.note(true, now_ms);
             return Step::Refused(Verdict::NoBudget, 0);
         }
     }
@@ -119,8 +120,12 @@
             Ok(choice) => {
                 leave(state, ticket);
                 note_grant(state, is_retry, terms, now_ms);
-                let expires_ms = wish.deadline_ms + PERMIT_MARGIN_MS;
-                let id = commands::take(&mut state.pool, choice, wish.ask, now_ms, expires_ms);
+                let lease = Lease {
+                    ask: wish.ask,
+                    expires_ms: wish.deadline_ms + PERMIT_MARGIN_MS,
+                    may_retry: ask.idempotent && !is_retry,
+                };
+                let id = commands::take(&mut state.pool, choice, lease, now_ms);
                 state.wake_first(now_ms);
                 return Step::Granted(id, choice.server);
             }
--- a/crates/owner/tests/owner.rs
+++ b/crates/owner/tests/owner.rs
@@ -90,6 +90,16 @@
     name
 }
 
+#[test]
+fn take_back_failure_that_is_tried_again() {
+    // Spreading work over failing servers is for services that fail their callers, not for those that try again.
+    let mut state = pool(4);
+    for number in 0..40 {
+        use_once(&mut state, Evidence::Failed, number);
+    }
+    assert_eq!(state.recent.failed_percent(), 0);
+}
+
 #[test]
 fn take_all_slots_busy() {
     let mut state = pool(2);
--- a/crates/permit/src/commands/take.rs
+++ b/crates/permit/src/commands/take.rs
@@ -1,23 +1,24 @@
 //! Takes a chosen slot and gives it back.
 
 use {
-    crate::{Choice, Permit, Pool},
+    crate::{Choice, Lease, Permit, Pool},
     types::{PermitId, ServerIndex},
 };
 
 /// Share of a new sample in the mean service time.
 const SERVICE_TIME_SHARE: f64 = 0.05;
 
-/// Takes the chosen slot for the ask of that number until `expires_ms` and returns the permit's number.
-pub fn take(pool: &mut Pool, choice: Choice, ask: u64, now_ms: u64, expires_ms: u64) -> PermitId {
+/// Takes the chosen slot on the terms of `lease` and returns the permit's number.
+pub fn take(pool: &mut Pool, choice: Choice, lease: Lease, now_ms: u64) -> PermitId {
     let id = PermitId::new(pool.next_permit);
     pool.next_permit += 1;
     let permit = Permit {
         server: choice.server,
-        ask,
+        ask: lease.ask,
         granted_ms: now_ms,
-        expires_ms,
+        expires_ms: lease.expires_ms,
         overdue: false,
+        may_retry: lease.may_retry,
     };
     pool.permits.insert(id, permit);
     if let Some(server) = pool.servers.get_mut(choice.server) {
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use crate::{
     budget::Budget,
-    pool::{Choice, Permit, Pool, Refusal, Server, Spread, Standing, Waiter, Wish},
+    pool::{Choice, Lease, Permit, Pool, Refusal, Server, Spread, Standing, Waiter, Wish},
     recent::Recent,
 };
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -45,6 +45,8 @@
     pub granted_count: u64,
     /// When a permit was granted last, or the server was listed, in milliseconds.
     pub granted_ms: u64,
+    /// When it last failed a request, in milliseconds; none if it never did.
+    pub failed_ms: Option<u64>,
     /// What a request given to it is expected to cost, in thousandths of a lost request.
     pub cost_permille: u32,
 }
@@ -63,6 +65,7 @@
             trial_due: false,
             granted_count: 0,
             granted_ms: 0,
+            failed_ms: None,
             cost_permille: 0,
         }
     }
@@ -81,6 +84,19 @@
     pub expires_ms: u64,
     /// Whether its age was already reported as overdue.
     pub overdue: bool,
+    /// Whether another try may make a failure good.
+    pub may_retry: bool,
+}
+
+/// The terms on which a slot is taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    /// Number of the ask that it is granted to.
+    pub ask: u64,
+    /// When it is taken back unless returned, in milliseconds.
+    pub expires_ms: u64,
+    /// Whether another try may make a failure good.
+    pub may_retry: bool,
 }
 
 /// What an entry instance asks for.
@@ -128,6 +144,9 @@
     pub from_percent: u32,
     /// Window in which a server counts as used, in milliseconds; below the two seconds that are looked at.
     pub window_ms: u64,
+    /// Time after a failure in which a server counts as used, in milliseconds: for two seconds it does not count as
+    /// sound, and then it has a window of its own.
+    pub failed_ms: u64,
     /// Share of a pool's servers that are to be used in that window, in percent; above the seven tenths asked for.
     pub share_percent: u32,
 }
@@ -138,6 +157,7 @@
         Self {
             from_percent: 9,
             window_ms: 1_700,
+            failed_ms: 3_700,
             share_percent: 75,
         }
     }
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -29,8 +29,7 @@
     now_ms: u64,
 ) -> Result<Choice, Refusal> {
     if recent.failed_percent() >= spread.from_percent {
-        let since_ms = now_ms.saturating_sub(spread.window_ms);
-        if let Some(choice) = choose_unused(pool, wish, since_ms, spread.share_percent) {
+        if let Some(choice) = choose_unused(pool, wish, spread, now_ms) {
             return Ok(choice);
         }
     }
@@ -68,21 +67,20 @@
     }
 }
 
-/// Picks a server that got no request since `since_ms`, the one expected to cost least, if fewer than
-/// `least_percent` of the pool's servers got one; so that a service which fails part of its requests does not
-/// narrow itself to few servers.
-pub fn choose_unused(
-    pool: &Pool,
-    wish: &Wish,
-    since_ms: u64,
-    least_percent: u32,
-) -> Option<Choice> {
+/// Picks a server that got no request in the window, the one expected to cost least, if too few of the pool's servers
+/// got one; so that a service which fails part of its requests does not narrow itself to few servers.
+pub fn choose_unused(pool: &Pool, wish: &Wish, spread: &Spread, now_ms: u64) -> Option<Choice> {
+    let used_since_ms = now_ms.saturating_sub(spread.window_ms);
+    let failed_since_ms = now_ms.saturating_sub(spread.failed_ms);
     let mut usable = 0;
     let mut used = 0;
     let mut best: Option<(ServerIndex, &Server)> = None;
     for (index, server) in pool.servers.iter().filter(|(_, server)| may_work(server)) {
         usable += 1;
-        if server.granted_ms >= since_ms {
+        let failed = server
+            .failed_ms
+            .is_some_and(|at_ms| at_ms >= failed_since_ms);
+        if server.granted_ms >= used_since_ms || failed {
             used += 1;
             continue;
         }
@@ -93,7 +91,7 @@
             best = Some((index, server));
         }
     }
-    let few = used * 100 < usable * least_percent;
+    let few = used * 100 < usable * spread.share_percent;
     best.filter(|_| few).map(|(server, found)| Choice {
         server,
         trial: found.trial_due,
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -9,7 +9,7 @@
         queries::{
             ahead, choose, choose_unused, first_present, fits_deadline, good_ones_suffice, held,
         },
-        Pool, Refusal, Standing, Wish,
+        Lease, Pool, Refusal, Spread, Standing, Wish,
     },
     quickcheck::quickcheck,
     std::net::SocketAddr,
@@ -36,6 +36,14 @@
     }
 }
 
+fn lease(expires_ms: u64) -> Lease {
+    Lease {
+        ask: 0,
+        expires_ms,
+        may_retry: false,
+    }
+}
+
 fn set_standing(pool: &mut Pool, index: usize, standing: Standing) {
     pool.servers
         .get_mut(ServerIndex::from(index))
@@ -49,7 +57,7 @@
     set_standing(&mut pool, 0, Standing::Suspect);
     let first = choose(&pool, &wish(true)).expect("a free slot");
     assert_eq!(first.server, ServerIndex::from(1));
-    take(&mut pool, first, 0, 0, 100);
+    take(&mut pool, first, lease(100), 0);
     let second = choose(&pool, &wish(true)).expect("the suspect's slot");
     assert_eq!(second.server, ServerIndex::from(0));
 }
@@ -82,7 +90,7 @@
     assert!(!choose(&pool, &wish(false)).expect("a slot").trial);
     let trial = choose(&pool, &wish(true)).expect("a slot");
     assert!(trial.trial);
-    take(&mut pool, trial, 0, 0, 100);
+    take(&mut pool, trial, lease(100), 0);
     assert!(!choose(&pool, &wish(true)).expect("a slot").trial);
 }
 
@@ -90,7 +98,7 @@
 fn expire_dead_entry() {
     let mut pool = pool(1, 1);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    take(&mut pool, choice, 0, 0, 100);
+    take(&mut pool, choice, lease(100), 0);
     assert_eq!(choose(&pool, &wish(true)), Err(Refusal::Busy));
     assert_eq!(expire(&mut pool, 99), 0);
     assert_eq!(expire(&mut pool, 100), 1);
@@ -101,7 +109,7 @@
 fn give_back_twice() {
     let mut pool = pool(1, 2);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    let id = take(&mut pool, choice, 0, 0, 100);
+    let id = take(&mut pool, choice, lease(100), 0);
     assert!(give_back(&mut pool, id, Some(10)).is_some());
     assert!(give_back(&mut pool, id, Some(10)).is_none());
     assert_eq!(held(&pool), 0);
@@ -111,7 +119,11 @@
 fn withdraw_ask_grant_not_heard() {
     let mut pool = pool(1, 1);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    take(&mut pool, choice, 7, 0, 5_000);
+    let numbered = Lease {
+        ask: 7,
+        ..lease(5_000)
+    };
+    take(&mut pool, choice, numbered, 0);
     let waiting = Wish {
         ask: 8,
         ..wish(true)
@@ -128,7 +140,7 @@
 fn mark_overdue_once() {
     let mut pool = pool(1, 1);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    take(&mut pool, choice, 0, 0, 1_000);
+    take(&mut pool, choice, lease(1_000), 0);
     assert!(mark_overdue(&mut pool, 50, 50).is_empty());
     assert_eq!(mark_overdue(&mut pool, 51, 50).len(), 1);
     assert!(mark_overdue(&mut pool, 60, 50).is_empty());
@@ -153,7 +165,7 @@
 fn fits_deadline_long_queue() {
     let mut pool = pool(1, 2);
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    let id = take(&mut pool, choice, 0, 0, 100);
+    let id = take(&mut pool, choice, lease(100), 0);
     give_back(&mut pool, id, Some(100_000));
     assert!(fits_deadline(&pool, 0, 0, 200));
     assert!(!fits_deadline(&pool, 10, 0, 200));
@@ -169,7 +181,7 @@
     let mut picks = Vec::new();
     for _ in 0..6 {
         let choice = choose(&pool, &wish(true)).expect("a slot");
-        take(&mut pool, choice, 0, 0, 100);
+        take(&mut pool, choice, lease(100), 0);
         picks.push(usize::from(choice.server));
     }
     // A used server costs more with each request, so the work spreads before the cheapest is full.
@@ -185,7 +197,7 @@
         ..wish(false)
     };
     let first = choose(&pool, &patient).expect("the good server");
-    take(&mut pool, first, 0, 0, 100);
+    take(&mut pool, first, lease(100), 0);
     assert_eq!(choose(&pool, &patient), Err(Refusal::Busy));
     assert!(choose(&pool, &wish(false)).is_ok());
 }
@@ -198,7 +210,7 @@
         set_standing(&mut pool, index, Standing::Suspect);
     }
     let choice = choose(&pool, &wish(true)).expect("a slot");
-    let id = take(&mut pool, choice, 0, 0, 1_000);
+    let id = take(&mut pool, choice, lease(1_000), 0);
     give_back(&mut pool, id, Some(300_000));
     assert!(good_ones_suffice(&pool, ahead(&pool, None, 0)));
     for _ in 0..3 {
@@ -231,11 +243,33 @@
         server.granted_ms = granted_ms;
         server.cost_permille = 1_000 - index as u32;
     }
-    let unused = |percent| choose_unused(&pool, &wish(false), 500, percent);
+    let unused = |share_percent| {
+        let spread = Spread {
+            window_ms: 500,
+            share_percent,
+            ..Spread::new()
+        };
+        choose_unused(&pool, &wish(false), &spread, 1_000)
+    };
     assert_eq!(unused(75).map(|choice| usize::from(choice.server)), Some(3));
     assert_eq!(unused(50), None);
 }
 
+#[test]
+fn choose_unused_failed_of_late() {
+    // A server that failed is given rest: sending it another request in each window would keep the failures up.
+    let mut pool = pool(2, 4);
+    let spread = Spread::new();
+    let server = pool.servers.get_mut(ServerIndex::from(0)).expect("listed");
+    (server.granted_ms, server.failed_ms) = (10_000, Some(10_001));
+    let server = pool.servers.get_mut(ServerIndex::from(1)).expect("listed");
+    (server.granted_ms, server.cost_permille) = (13_500, 10);
+    let unused = |now_ms| choose_unused(&pool, &wish(false), &spread, now_ms);
+    assert_eq!(unused(13_600), None);
+    let later = unused(14_000).map(|choice| usize::from(choice.server));
+    assert_eq!(later, Some(0));
+}
+
 #[test]
 fn enqueue_urgent_first() {
     let mut pool = pool(1, 1);
@@ -259,7 +293,7 @@
         turns.iter().all(|(takes, pick)| {
             if *takes {
                 if let Ok(choice) = choose(&pool, &wish(true)) {
-                    out.push(take(&mut pool, choice, 0, 0, 1_000));
+                    out.push(take(&mut pool, choice, lease(1_000), 0));
                 }
             } else if !out.is_empty() {
                 let id = out.remove(usize::from(*pick) % out.len());
