Never grant more retries than the fleet may make while a pool's owner changes

(1) An owner took over its predecessor's counts as of now, so old requests earned retries for ten more seconds. (2) A restarted owner asked the interim one for 60 ms only and began with a fresh slack. (3) While some still ask the interim owner both gave the slack. (4) Each instance without an owner had one retry in 10 s, 159 of a slack of 277.

Change: counts are told with their ages, requests taken once and retries added up; an owner goes on asking for half a second and takes over what comes late; until it is told, and while another is first, it grants a tenth of the slack only; instances without an owner share a fifth of it. Openings of a pool are logged with what was told.

Ruled out: hedges, and second tries after a refused connection, which are not in the owner's count but too few.

--- a/crates/daemon/src/commands/hand_over.rs
+++ b/crates/daemon/src/commands/hand_over.rs
@@ -13,38 +13,82 @@
     log::info,
     member::{queries::owner_order, Instance},
     outlier::{commands::Heard, Tail},
-    owner::{commands::adopt, queries::knowledge, Knowledge, KnownServer, PoolState},
+    owner::{
+        commands::{adopt, withhold_slack},
+        queries::knowledge,
+        Knowledge, KnownServer, PoolState,
+    },
+    permit::AgedCount,
     serde_json::json,
-    std::sync::Arc,
-    wire::generated::{PoolAsk, PoolEvidence, ServerEvidence},
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
+    wire::generated::{PoolAsk, PoolEvidence, RetryCount, ServerEvidence},
 };
 
 /// Instances asked about a pool that is new here; the first of them owned it, most likely.
 const ASKED: usize = 3;
-/// Time allowed for their answers, in milliseconds; requests wait for it once, when a pool moves.
-const ASK_TIMEOUT_MS: u64 = 60;
-/// Time allowed for telling a successor, in milliseconds.
+/// Time for which requests wait for their answers, in milliseconds, once, when a pool moves.
+const OPEN_WAIT_MS: u64 = 60;
+/// Time allowed for telling a successor, and for its asking, in milliseconds.
 const TELL_TIMEOUT_MS: u64 = 500;
 
-/// Asks others what they know of a pool that was just opened here.
+/// Asks others what they know of a pool that was just opened here. Requests wait for it, for a short time; what comes
+/// later is taken over as well.
 pub(crate) async fn ask_others(node: &Arc<Node>, service: &str, area: &str) {
+    set_slack_from(node, service, area, u64::MAX);
+    let gathering = gather(Arc::clone(node), service.to_owned(), area.to_owned());
+    let gathered = tokio::spawn(gathering);
+    // Past its time it goes on by itself.
+    let _ = timeout(Duration::from_millis(OPEN_WAIT_MS), gathered).await;
+}
+
+async fn gather(node: Arc<Node>, service: String, area: String) {
+    let node = &node;
     let view = node.view.load_full();
-    let willing = willing_owners(node, &view, service, area);
+    let willing = willing_owners(node, &view, &service, &area);
     let others = willing.filter(|instance| instance.name != node.settings.instance);
     let ask = PoolAsk {
-        service: service.to_owned(),
-        area: area.to_owned(),
+        service: service.clone(),
+        area: area.clone(),
     };
     let ask = &ask;
     let asks = others.take(ASKED).map(|peer| async move {
-        let answer: Result<PoolEvidence, _> =
-            call(node, peer, "pool_evidence", ask, ASK_TIMEOUT_MS).await;
-        // One that does not answer is skipped for a time; nothing of it is needed here.
-        answer.ok()
-    });
-    for evidence in join_all(asks).await.into_iter().flatten() {
+        let told: Result<PoolEvidence, _> =
+            call(node, peer, "pool_evidence", ask, TELL_TIMEOUT_MS).await;
+        // One that does not answer is skipped for a time; nothing else of it is needed here.
+        let evidence = told.ok()?;
         take_over(node, &evidence);
-    }
+        Some(!evidence.counts.is_empty())
+    });
+    let answers = join_all(asks).await;
+    let answered = answers.iter().flatten().count();
+    let counted = answers.contains(&Some(true));
+    let line = json!({
+        "belief": "pool opened",
+        "service": service,
+        "area": area,
+        "answered": answered,
+        "counts_told": counted,
+    });
+    info!(target: "decision.belief", "{line}");
+    let window_ms = node.settings.retry_window_ms;
+    let slack_from_ms = match (counted, answered == answers.len()) {
+        (true, _) => 0,
+        // Nobody owned it, unless all have started with this process.
+        (false, true) => window_ms,
+        (false, false) => window_ms + node.now_ms(),
+    };
+    set_slack_from(node, &service, &area, slack_from_ms);
+}
+
+/// Sets from when the slack of retries of a pool is granted: an earlier owner may have granted it in the window.
+fn set_slack_from(node: &Node, service: &str, area: &str, from_ms: u64) {
+    let id = node.owner.id(service, area);
+    node.owner.with(id, |pools| {
+        if let Some(state) = pools.get_mut(&id) {
+            withhold_slack(state, from_ms);
+        }
+    });
 }
 
 /// Tells the successor of each pool what is known of it.
@@ -94,6 +138,14 @@
     node.pool_opened.notify_one();
 }
 
+fn aged_count(text: &RetryCount) -> AgedCount {
+    AgedCount {
+        age_ms: text.age_ms,
+        requests: text.requests,
+        retries: text.retries,
+    }
+}
+
 fn known_of(text: &PoolEvidence) -> Knowledge {
     let servers = text.servers.iter().map(|server| KnownServer {
         name: server.server.clone(),
@@ -111,8 +163,7 @@
             count: text.tail_count,
         },
         service_us: text.service_us as f64,
-        requests: text.requests,
-        retries: text.retries,
+        counts: text.counts.iter().map(aged_count).collect(),
         servers: servers.collect(),
     }
 }
@@ -122,6 +173,11 @@
 }
 
 fn evidence_of(service: &str, area: &str, known: &Knowledge) -> PoolEvidence {
+    let counts = known.counts.iter().map(|count| RetryCount {
+        age_ms: count.age_ms,
+        requests: count.requests,
+        retries: count.retries,
+    });
     let servers = known.servers.iter().map(|server| ServerEvidence {
         server: server.name.clone(),
         born_ms: server.born_ms,
@@ -136,8 +192,7 @@
         tail_us: known.tail.tail_us as u64,
         tail_count: known.tail.count,
         service_us: known.service_us as u64,
-        requests: known.requests,
-        retries: known.retries,
+        counts: counts.collect(),
         servers: servers.collect(),
     }
 }
--- a/crates/daemon/src/commands/local.rs
+++ b/crates/daemon/src/commands/local.rs
@@ -5,7 +5,7 @@
     entry::{AcquireAsk, Evidence, Grant, Refused, Release},
     log::info,
     member::{
-        queries::{pool_areas, pool_servers},
+        queries::{live_instances, pool_areas, pool_servers},
         BackendServer, Presence, View,
     },
     std::sync::atomic::Ordering,
@@ -20,6 +20,15 @@
 /// Time for which a server that could not be reached is not asked for, in milliseconds; a cut between two machines
 /// lasts for seconds, and another try costs a request a quarter of a second.
 const UNREACHABLE_MS: u64 = 2_000;
+/// Part of the fleet's slack of retries that instances without an owner spend together, in percent; owners give 70.
+const LONE_SLACK_PERCENT: u32 = 20;
+
+/// Time between the retries of an instance without an owner, in milliseconds, so that `instances` together spend at
+/// most a part of `slack` in each window.
+fn lone_interval_ms(window_ms: u64, slack: u32, instances: u64) -> u64 {
+    let shared = u64::from(slack * LONE_SLACK_PERCENT / 100).max(1);
+    (window_ms * instances).div_ceil(shared).max(window_ms)
+}
 
 /// Chooses the less loaded of two random live servers that are not avoided, nearest data centre first.
 pub(crate) fn choose(node: &Node, ask: &AcquireAsk) -> Result<Grant, Refused> {
@@ -79,11 +88,15 @@
     info!(target: "decision.placement", "{}", to_text(&decision));
 }
 
-/// Without an owner each instance has one retry a window: together they stay far below the fleet's slack.
+/// Without an owner each instance has a retry from time to time: together they stay within a part of the fleet's
+/// slack, most of which the owners give.
 fn may_retry_alone(node: &Node) -> bool {
     let now_ms = node.now_ms().max(1);
     let last_ms = node.lone_retry_ms.load(Ordering::SeqCst);
-    if last_ms > 0 && now_ms < last_ms + node.settings.retry_window_ms {
+    let instances = live_instances(&node.view.load()).count() as u64;
+    let settings = &node.settings;
+    let interval_ms = lone_interval_ms(settings.retry_window_ms, settings.retry_slack, instances);
+    if last_ms > 0 && now_ms < last_ms + interval_ms {
         return false;
     }
     let swapped =
--- a/crates/daemon/src/commands/pool_take.rs
+++ b/crates/daemon/src/commands/pool_take.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         commands::{fold_ejections::follow_service, hand_over, pool_list::open_pool},
+        queries::is_first_owner,
         Node,
     },
     config::queries::find_service,
@@ -109,12 +110,18 @@
     });
     let percent = service.map_or(0, |service| service.retry_percent);
     let settings = &node.settings;
-    RetryTerms::new(
+    let terms = RetryTerms::new(
         settings.retry_window_ms,
         percent,
         settings.retry_slack,
         pools,
-    )
+    );
+    // While two instances are asked for slots of a pool, only one of them may grant the slack.
+    if text.sent > 0 && !is_first_owner(node, &text.service, &text.area) {
+        terms.with_doubt()
+    } else {
+        terms
+    }
 }
 
 fn verdict_text(verdict: Verdict) -> PermitVerdict {
--- a/crates/daemon/src/queries/peers.rs
+++ b/crates/daemon/src/queries/peers.rs
@@ -14,6 +14,15 @@
     })
 }
 
+/// Tells whether this instance is the first that owns the pool, as far as it knows.
+pub(crate) fn is_first_owner(node: &Node, service: &str, area: &str) -> bool {
+    let view = node.view.load();
+    let order = queries::owner_order(&view, service, area);
+    order
+        .first()
+        .is_some_and(|first| first.name == node.settings.instance)
+}
+
 /// Walks the instances that may own a pool, first in order first, without those that are passed over.
 pub(crate) fn willing_owners<'a>(
     node: &'a Node,
--- a/crates/outlier/src/commands/observe.rs
+++ b/crates/outlier/src/commands/observe.rs
@@ -50,10 +50,13 @@
 const GOODS_MAX: u32 = 24;
 /// Time within which a new suspicion counts as flapping, in milliseconds.
 const FLAP_WINDOW_MS: u64 = 60_000;
-/// Time to the first trial of a suspect, in milliseconds; doubles with each trial that fails.
+/// Time to the first trial of a suspect, in milliseconds; grows by a quarter with each trial that fails.
 const TRIAL_FIRST_MS: u64 = 1_000;
-/// Longest time between trials, in milliseconds.
-const TRIAL_MAX_MS: u64 = 16_000;
+/// Part by which the time between trials grows, as one in so many.
+const TRIAL_GROWTH_ONE_IN: u64 = 4;
+/// Longest time between trials, in milliseconds: a trial costs a safe request one of its tries at most, while a server
+/// that works again is missed by all who wait.
+const TRIAL_MAX_MS: u64 = 4_000;
 
 /// Takes in one outcome of `server` and updates whether it is a suspect.
 pub fn observe(
@@ -178,7 +181,8 @@
 /// Without a peer there is nothing to compare with, so nothing is held against the server.
 fn bad(entry: &mut ServerHealth, peer_share: Option<f64>, least: f64) {
     entry.good_in_row = 0;
-    entry.trial_interval_ms = (entry.trial_interval_ms * 2).min(TRIAL_MAX_MS);
+    let grown_ms = entry.trial_interval_ms + entry.trial_interval_ms / TRIAL_GROWTH_ONE_IN;
+    entry.trial_interval_ms = grown_ms.min(TRIAL_MAX_MS);
     entry.bad_share += BAD_SHARE_WEIGHT * (1.0 - entry.bad_share);
     let Some(peer_share) = peer_share else {
         return;
--- a/crates/owner/src/commands.rs
+++ b/crates/owner/src/commands.rs
@@ -7,7 +7,7 @@
 mod take;
 
 pub use self::{
-    adopt::adopt,
+    adopt::{adopt, withhold_slack},
     give::{take_back, Back},
     list::{apply_service, list, restand},
     look::{look, observe_flights, take_changes, Change},
--- a/crates/owner/src/commands/adopt.rs
+++ b/crates/owner/src/commands/adopt.rs
@@ -6,6 +6,11 @@
     permit::commands::{adopt_counts, adopt_service_time},
 };
 
+/// Grants few retries beyond the service's share until `until_ms`, since nobody told what was granted before.
+pub fn withhold_slack(state: &mut PoolState, until_ms: u64) {
+    state.slack_from_ms = until_ms;
+}
+
 /// Takes over `knowledge` of servers that are still the same processes, and the retries of the window.
 pub fn adopt(state: &mut PoolState, knowledge: &Knowledge, window_ms: u64, now_ms: u64) {
     for server in &knowledge.servers {
@@ -19,7 +24,6 @@
     }
     adopt_tail(&mut state.health, knowledge.tail);
     adopt_service_time(&mut state.pool, knowledge.service_us);
-    let (requests, retries) = (knowledge.requests, knowledge.retries);
-    adopt_counts(&mut state.budget, window_ms, requests, retries, now_ms);
+    adopt_counts(&mut state.budget, window_ms, &knowledge.counts, now_ms);
     restand(state, now_ms);
 }
--- a/crates/owner/src/commands/take.rs
+++ b/crates/owner/src/commands/take.rs
@@ -16,6 +16,9 @@
 const PERMIT_MARGIN_MS: u64 = 500;
 /// Part of the fleet's slack of retries that owners give, in percent.
 const SLACK_GIVEN_PERCENT: u32 = 70;
+/// Part of the fleet's slack that an owner gives while it does not know what was granted before, in percent; with what
+/// owners and instances without one give it makes up the whole.
+const DOUBTFUL_SLACK_PERCENT: u32 = 10;
 /// Part of a service's share of retries that owners give, in percent.
 const SHARE_GIVEN_PERCENT: u32 = 90;
 /// Time without work after which a good server is given some by a request that may be repeated, in milliseconds.
@@ -80,6 +83,7 @@
     window_ms: u64,
     percent: u32,
     slack: u32,
+    doubtful_slack: u32,
 }
 
 impl RetryTerms {
@@ -92,6 +96,15 @@
             window_ms,
             percent: service_percent * SHARE_GIVEN_PERCENT / 100,
             slack: fleet_slack * SLACK_GIVEN_PERCENT / 100 / pools.max(1),
+            doubtful_slack: fleet_slack * DOUBTFUL_SLACK_PERCENT / 100 / pools.max(1),
+        }
+    }
+
+    /// Sets the retries beyond the share to what may be granted whatever was granted before.
+    pub fn with_doubt(self) -> Self {
+        Self {
+            slack: self.doubtful_slack,
+            ..self
         }
     }
 }
@@ -103,6 +116,11 @@
     let ticket = ask.ticket;
     let is_retry = ask.is_retry;
     state.asked_ms = now_ms;
+    let terms = if now_ms < state.slack_from_ms {
+        terms.with_doubt()
+    } else {
+        terms
+    };
     let wish = wish(state, ask, now_ms);
     if is_retry && !queries::may_retry(&state.budget, terms.percent, terms.slack) {
         // Looked at again with the counts of now.
--- a/crates/owner/src/queries/knowledge.rs
+++ b/crates/owner/src/queries/knowledge.rs
@@ -3,7 +3,10 @@
 use {
     crate::PoolState,
     outlier::{commands::Heard, Tail},
-    permit::queries::{counts, service_us},
+    permit::{
+        queries::{aged_counts, service_us},
+        AgedCount,
+    },
 };
 
 /// Age from which evidence is not handed on, in milliseconds; it has faded by then.
@@ -27,17 +30,14 @@
     pub tail: Tail,
     /// Mean service time, in microseconds; 0 if not known.
     pub service_us: f64,
-    /// Requests in the window of retries.
-    pub requests: u32,
-    /// Retries in that window.
-    pub retries: u32,
+    /// Requests and retries in the window of retries.
+    pub counts: Vec<AgedCount>,
     /// Servers of which something was heard lately.
     pub servers: Vec<KnownServer>,
 }
 
 /// Returns what is known of a pool.
 pub fn knowledge(state: &PoolState, now_ms: u64) -> Knowledge {
-    let (requests, retries) = counts(&state.budget);
     let servers = state.health.servers.iter().filter_map(|(index, entry)| {
         let note = state.notes.get(index).filter(|note| note.listed)?;
         let age_ms = now_ms.saturating_sub(entry.belief_ms);
@@ -55,8 +55,7 @@
     Knowledge {
         tail: state.health.tail,
         service_us: service_us(&state.pool),
-        requests,
-        retries,
+        counts: aged_counts(&state.budget, now_ms).collect(),
         servers: servers.collect(),
     }
 }
--- a/crates/owner/src/state.rs
+++ b/crates/owner/src/state.rs
@@ -67,6 +67,9 @@
     pub(crate) listed_version: u64,
     /// Version of the configuration that was applied last.
     pub(crate) config_version: u64,
+    /// From when all retries beyond the service's share are granted, in milliseconds; an earlier owner may have granted
+    /// most of them in the window.
+    pub(crate) slack_from_ms: u64,
     /// When the pool was opened here, in milliseconds.
     pub(crate) created_ms: u64,
     /// When it was asked last, in milliseconds.
@@ -90,6 +93,7 @@
             floor_slots: 0,
             listed_version: 0,
             config_version: 0,
+            slack_from_ms: 0,
             created_ms: now_ms,
             asked_ms: now_ms,
         }
--- a/crates/owner/tests/owner.rs
+++ b/crates/owner/tests/owner.rs
@@ -5,9 +5,11 @@
     member::{BackendServer, Presence, View},
     outlier::Evidence,
     owner::{
-        commands::{adopt, apply_service, list, look, take, take_back, take_changes},
+        commands::{
+            adopt, apply_service, list, look, take, take_back, take_changes, withhold_slack,
+        },
         queries::knowledge,
-        Ask, Back, PoolState, RetryTerms, Step, Verdict, QUEUE_WAIT_MS,
+        Ask, Back, Knowledge, PoolState, RetryTerms, Step, Verdict, QUEUE_WAIT_MS,
     },
     permit::Standing,
     std::net::SocketAddr,
@@ -269,7 +271,7 @@
         );
     }
     let told = knowledge(&before, 100);
-    assert_eq!(told.requests, 60);
+    assert_eq!(told_requests(&told), 60);
     let mut after = PoolState::new("orders", "dc", 100);
     // The second server has started again since.
     let servers = vec![server(0, 1), server(1, 9)];
@@ -279,5 +281,30 @@
     let counts: Vec<u64> = counts.map(|(_, entry)| entry.whole_count).collect();
     assert!(counts[0] > 0, "what is known of the same process is kept");
     assert_eq!(counts[1], 0, "what was known of an earlier process is not");
-    assert_eq!(knowledge(&after, 100).requests, 60);
+    assert_eq!(told_requests(&knowledge(&after, 100)), 60);
+}
+
+fn told_requests(told: &Knowledge) -> u32 {
+    told.counts.iter().map(|count| count.requests).sum()
+}
+
+#[test]
+fn take_slack_withheld() {
+    // A successor that was not told what was granted keeps to the share until the window has passed.
+    let mut state = pool(2);
+    withhold_slack(&mut state, 10_000);
+    let slack_only = RetryTerms::new(10_000, 0, 100, 1);
+    let retry = |now_ms: u64| Ask {
+        is_retry: true,
+        deadline_ms: now_ms + 1_000,
+        ..ask(1)
+    };
+    for _ in 0..10 {
+        let (permit, server) = granted(&take(&mut state, &retry(9_000), slack_only, 9_000));
+        let name = state.pool.names.name(server).to_owned();
+        take_back(&mut state, &back(permit, &name, Evidence::Nothing), 9_000);
+    }
+    let early = take(&mut state, &retry(9_999), slack_only, 9_999);
+    assert!(matches!(early, Step::Refused(Verdict::NoBudget, 0)));
+    granted(&take(&mut state, &retry(10_000), slack_only, 10_000));
 }
--- a/crates/permit/src/budget.rs
+++ b/crates/permit/src/budget.rs
@@ -9,6 +9,17 @@
 /// between them holds more.
 pub(crate) const COUNT_MS: u64 = 500;
 
+/// What happened in one stretch of time that began so long ago, as one owner tells another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgedCount {
+    /// Time since the stretch began, in milliseconds.
+    pub age_ms: u64,
+    /// Requests of that stretch.
+    pub requests: u32,
+    /// Retries granted in it.
+    pub retries: u32,
+}
+
 /// What happened in one stretch of [`COUNT_MS`].
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Count {
@@ -17,7 +28,7 @@
     pub(crate) retries: u32,
 }
 
-/// Counts of requests and retries of one service.
+/// Counts of requests and retries of one service, in order of their numbers.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     pub(crate) counts: VecDeque<Count>,
--- a/crates/permit/src/commands/budget.rs
+++ b/crates/permit/src/commands/budget.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     budget::{Count, COUNT_MS},
-    queries, Budget,
+    queries, AgedCount, Budget,
 };
 
 /// Notes one request at its first ask.
@@ -21,11 +21,30 @@
     allowed
 }
 
-/// Takes over the counts of an earlier owner, as if they had happened now.
-pub fn adopt_counts(budget: &mut Budget, window_ms: u64, requests: u32, retries: u32, now_ms: u64) {
-    let count = current(budget, window_ms, now_ms);
-    count.requests += requests;
-    count.retries += retries;
+/// Takes over the counts of another owner, each as of its time, so that they leave the window when they should.
+///
+/// Two owners may tell the same counts, or each its own: requests are taken once and retries added up, so that what may
+/// still be granted is never too much.
+pub fn adopt_counts(budget: &mut Budget, window_ms: u64, counts: &[AgedCount], now_ms: u64) {
+    for told in counts {
+        let number = now_ms.saturating_sub(told.age_ms).div_ceil(COUNT_MS);
+        let place = budget.counts.partition_point(|count| count.number < number);
+        let is_known = budget
+            .counts
+            .get(place)
+            .is_some_and(|count| count.number == number);
+        if !is_known {
+            let count = Count {
+                number,
+                ..Count::default()
+            };
+            budget.counts.insert(place, count);
+        }
+        let count = &mut budget.counts[place];
+        count.requests = count.requests.max(told.requests);
+        count.retries += told.retries;
+    }
+    forget_old(budget, window_ms, now_ms);
 }
 
 /// Forgets what has left the window.
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -9,7 +9,7 @@
 mod recent;
 
 pub use crate::{
-    budget::Budget,
+    budget::{AgedCount, Budget},
     pool::{Choice, Lease, Permit, Pool, Refusal, Server, Spread, Standing, Waiter, Wish},
     recent::Recent,
 };
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        budget::Count, Budget, Choice, Pool, Recent, Refusal, Server, Spread, Standing, Waiter,
-        Wish,
+        budget::{Count, COUNT_MS},
+        AgedCount, Budget, Choice, Pool, Recent, Refusal, Server, Spread, Standing, Waiter, Wish,
     },
     types::{EntityMap, ServerIndex},
 };
@@ -136,6 +136,15 @@
     (sum(&|count| count.requests), sum(&|count| count.retries))
 }
 
+/// Walks the counts of the window with the age of each, oldest first.
+pub fn aged_counts(budget: &Budget, now_ms: u64) -> impl Iterator<Item = AgedCount> + '_ {
+    budget.counts.iter().map(move |count| AgedCount {
+        age_ms: now_ms.saturating_sub(count.number * COUNT_MS),
+        requests: count.requests,
+        retries: count.retries,
+    })
+}
+
 /// Returns the mean service time, in microseconds; 0 before the first whole answer.
 pub fn service_us(pool: &Pool) -> f64 {
     pool.service_us
--- a/crates/permit/tests/budget.rs
+++ b/crates/permit/tests/budget.rs
@@ -2,8 +2,9 @@
 
 use {
     permit::{
-        commands::{note_request, spend},
-        Budget,
+        commands::{adopt_counts, forget_old, note_request, spend},
+        queries::{counts, may_retry},
+        AgedCount, Budget,
     },
     quickcheck::quickcheck,
 };
@@ -41,3 +42,34 @@
     assert!(!spend(&mut budget, WINDOW_MS, 20, 1, WINDOW_MS));
     assert!(spend(&mut budget, WINDOW_MS, 20, 1, WINDOW_MS + 1_000));
 }
+
+#[test]
+fn adopt_counts_leave_window_in_time() {
+    // An owner that took a pool over granted retries by requests that had left the window at its predecessor.
+    let mut budget = Budget::new();
+    let told = [AgedCount {
+        age_ms: 9_000,
+        requests: 500,
+        retries: 60,
+    }];
+    adopt_counts(&mut budget, WINDOW_MS, &told, 20_000);
+    assert_eq!(counts(&budget), (500, 60));
+    forget_old(&mut budget, WINDOW_MS, 22_500);
+    assert_eq!(counts(&budget), (0, 0));
+}
+
+#[test]
+fn adopt_counts_told_twice() {
+    // The same counts may come back by way of another owner; what may be granted must not grow by that.
+    let mut budget = Budget::new();
+    let told = [AgedCount {
+        age_ms: 1_000,
+        requests: 500,
+        retries: 60,
+    }];
+    adopt_counts(&mut budget, WINDOW_MS, &told, 20_000);
+    let before = may_retry(&budget, 20, 0);
+    adopt_counts(&mut budget, WINDOW_MS, &told, 20_000);
+    assert_eq!(counts(&budget), (500, 120));
+    assert!(before && !may_retry(&budget, 20, 0));
+}
