--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -227,12 +227,12 @@
 const FULL_COST_PERMILLE: u32 = 300;
 /// What a server of another data centre costs, in thousandths of a lost request: a way of a millisecond or two, and an
 /// answer of some kilobytes between data centres.
-const FAR_COST_PERMILLE: u32 = 20;
+const FAR_COST_PERMILLE: u32 = 50;
 /// Size of a body that costs one thousandth of a lost request to carry to another data centre, in bytes; both users
-/// pay for the bytes, at about a sixth of a request's worth for an upload of 60 kB.
-const FAR_BYTES_A_PERMILLE: u64 = 400;
+/// pay for the bytes, at about three tenths of a request's worth for an upload of 60 kB.
+const FAR_BYTES_A_PERMILLE: u64 = 200;
 /// Most that the way of a body to another data centre costs, in thousandths of a lost request.
-const FAR_BODY_COST_MAX_PERMILLE: u64 = 200;
+const FAR_BODY_COST_MAX_PERMILLE: u64 = 400;
 
 /// Expected cost from which a server is not tried for want of work, in thousandths of a lost request.
 const NEGLECT_COST_MAX_PERMILLE: u32 = 350;
