Try servers that are no suspects any more with safe requests

A server whose suspicion has faded costs 0.5 to 0.35 of a lost request for six seconds more: no trial is due for it, and it was not tried for want of work either.

Change: a request that may be repeated tries a server without work up to a cost of 0.6; one to run once up to 0.35 as before.

--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -236,13 +236,21 @@
 
 /// Expected cost from which a server is not tried for want of work, in thousandths of a lost request.
 const NEGLECT_COST_MAX_PERMILLE: u32 = 350;
+/// The same for a request that may be repeated: whoever is no suspect is tried, since a server that failed seconds ago
+/// would else be left out until long after it is no suspect any more.
+const NEGLECT_COST_MAX_SAFE_PERMILLE: u32 = 600;
 
 /// A good server that got no work for a while is tried, so that a new one comes into use and a lasting good
 /// opinion of others does not starve it.
 fn is_neglected(server: &Server, wish: &Wish) -> bool {
+    let cost_max_permille = if wish.idempotent {
+        NEGLECT_COST_MAX_SAFE_PERMILLE
+    } else {
+        NEGLECT_COST_MAX_PERMILLE
+    };
     server.held == 0
         && server.granted_ms < wish.neglected_before_ms
-        && server.cost_permille <= NEGLECT_COST_MAX_PERMILLE
+        && server.cost_permille <= cost_max_permille
 }
 
 /// Orders servers; the smallest is picked.
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -188,6 +188,25 @@
     assert_eq!(picks, [1, 1, 2, 1, 0, 2]);
 }
 
+#[test]
+fn choose_neglected_doubtful_server() {
+    // A server whose suspicion has just faded gets a safe request after a while without work, not one to run once.
+    let mut pool = pool(2, 4);
+    for (index, cost_permille, granted_ms) in [(0, 450, 100), (1, 20, 900)] {
+        let server = pool.servers.get_mut(ServerIndex::from(index));
+        let server = server.expect("listed");
+        (server.cost_permille, server.granted_ms) = (cost_permille, granted_ms);
+    }
+    let picked = |idempotent| {
+        let later = Wish {
+            neglected_before_ms: 500,
+            ..wish(idempotent)
+        };
+        usize::from(choose(&pool, &later).expect("a slot").server)
+    };
+    assert_eq!((picked(true), picked(false)), (0, 1));
+}
+
 #[test]
 fn choose_spurned_suspect() {
     let mut pool = pool(2, 1);
