--- a/crates/member/tests/member.rs
+++ b/crates/member/tests/member.rs
@@ -72,6 +72,17 @@
     assert!(!queries::is_skipped(&contacts, "p", 100));
 }
 
+#[test]
+fn failed_calls_on_their_way_together() {
+    // Ten calls wait for an owner that is paused: it is skipped as after one failure, not for eight seconds.
+    let mut contacts = Contacts::default();
+    for late_ms in 0..10 {
+        commands::failed(&mut contacts, "p", late_ms);
+    }
+    assert!(queries::is_skipped(&contacts, "p", 99));
+    assert!(!queries::is_skipped(&contacts, "p", 100));
+}
+
 #[test]
 fn pool_areas_own_first_and_live_only() {
     let server = |name: &str, data_centre: &str, presence| BackendServer {
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -18,7 +18,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
     wire::from_text,
 };
 
@@ -226,7 +226,9 @@
         (state.in_flight - 1, state.knobs.proves, state.name.clone())
     };
     let _slot = Slot(Arc::clone(&shared));
-    let mut work = Work::new(&request);
+    let work = Work::new(&request);
+    let id = work.id.clone();
+    let deadline_ms = deadline_ms(&request);
     let meant = request.headers().get("target-instance");
     if proves && meant.is_some_and(|meant| meant != name.as_str()) {
         return Some(full(421, "another server"));
@@ -240,6 +242,26 @@
         };
         return Some(mark(shed(), mark_name));
     };
+    let running = run_admitted(&shared, request, work, knobs, planned_us, &name);
+    // Its slot must not outlast its time: the end of a connection may never be heard of.
+    match deadline_ms {
+        Some(deadline_ms) => match timeout(Duration::from_millis(deadline_ms), running).await {
+            Ok(answer) => answer,
+            Err(_) => Some(prove(full(504, "deadline"), &id, &name)),
+        },
+        None => running.await,
+    }
+}
+
+/// Reads the body of admitted work, works and answers.
+async fn run_admitted(
+    shared: &Shared<State>,
+    request: Request<Incoming>,
+    mut work: Work,
+    knobs: BackendKnobs,
+    planned_us: u64,
+    name: &str,
+) -> Option<Answer> {
     let received = request.into_body().collect().await.ok()?.to_bytes();
     work.received_bytes = received.len();
     let gray = effective(knobs.gray);
@@ -255,15 +277,15 @@
         // The timer is a millisecond coarse, which is the server's time and not the proxy's.
         runs.planned_us = runs.planned_us.max(work.service_us);
     }
-    let answer = work_answer(&work, &name, if failed { Gray::Errors } else { gray });
-    Some(if proves {
+    let answer = work_answer(&work, name, if failed { Gray::Errors } else { gray });
+    Some(if knobs.proves {
         // An answer that belongs to another request bears that one's id and proof.
         let id = if gray == Gray::Mixed && !failed {
             "someone-else"
         } else {
             work.id.as_str()
         };
-        prove(answer, id, &name)
+        prove(answer, id, name)
     } else if knobs.draining {
         mark(answer, "x-draining")
     } else {
@@ -271,6 +293,12 @@
     })
 }
 
+/// Returns the time that the request's sender gives it, in milliseconds, if it says so.
+fn deadline_ms(request: &Request<Incoming>) -> Option<u64> {
+    let text = request.headers().get("deadline-ms")?.to_str().ok()?;
+    text.parse().ok()
+}
+
 /// Books the arrival; returns nothing if it is shed, else the knobs and the time to work, in microseconds.
 fn admit(shared: &Shared<State>, work: &Work, before: u32) -> Option<(BackendKnobs, u64)> {
     let mut state = shared.lock();
