Note a grant in a function of its own in the emulator

Change: what a grant does to the budget is one function, as at a pool's owner. Behaviour is the same.

--- a/crates/emu/src/commands/run.rs
+++ b/crates/emu/src/commands/run.rs
@@ -13,7 +13,7 @@
     },
     permit::{
         commands::{note_request, spend, take},
-        queries, Lease, Standing, Wish,
+        queries, Budget, Lease, Standing, Wish,
     },
     std::{cmp::Reverse, collections::BinaryHeap},
     types::{PermitId, ServerIndex},
@@ -176,18 +176,8 @@
             return;
         };
         owned.waiting.pop_front();
-        if is_retry {
-            spend(
-                &mut owned.state.budget,
-                RETRY_WINDOW_MS,
-                RETRY_PERCENT,
-                RETRY_SLACK,
-                now_ms,
-            );
-            emulation.figures.retries += 1;
-        } else {
-            note_request(&mut owned.state.budget, RETRY_WINDOW_MS, now_ms);
-        }
+        note_grant(&mut owned.state.budget, is_retry, now_ms);
+        emulation.figures.retries += u64::from(is_retry);
         let permit = take(
             &mut owned.state.pool,
             choice,
@@ -210,6 +200,14 @@
     }
 }
 
+fn note_grant(budget: &mut Budget, is_retry: bool, now_ms: u64) {
+    if is_retry {
+        spend(budget, RETRY_WINDOW_MS, RETRY_PERCENT, RETRY_SLACK, now_ms);
+    } else {
+        note_request(budget, RETRY_WINDOW_MS, now_ms);
+    }
+}
+
 fn wish(owner: &mut Owner, policy: &Policy, request: &Request, now_ms: u64) -> Wish {
     if !policy.weighs_evidence {
         for (_, server) in owner.state.pool.servers.iter_mut() {
