Log where a configuration came from and how old it was

Cause: an instance that answered with an old version left no trace of the age of its data, of the sender, or of the path. Change: a line for each received version with sender and ages, the age in the line about reading the platform, and the age of the feed in log_age_ms on store platforms, where it was the time since the start.

--- a/crates/daemon/src/queries/status.rs
+++ b/crates/daemon/src/queries/status.rs
@@ -76,8 +76,12 @@
     }
 }
 
-/// Returns the time since the log was last read, in milliseconds.
+/// Returns the time since the log was last read, in milliseconds; on a store platform, the age of the configuration and
+/// the server list, whichever is older.
 pub(crate) fn log_age_ms(node: &Node) -> u64 {
+    if let Some(feed) = node.feed.get() {
+        return feed::queries::source_age_ms(feed);
+    }
     node.now_ms()
         .saturating_sub(node.last_log_read_ms.load(Ordering::SeqCst))
 }
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -33,6 +33,7 @@
     let now_ms = feed.now_ms();
     feed.state
         .with(0, |state| state.config_as_of_ms = Some(now_ms));
+    let known_version = (feed.hooks.active_config_version)();
     for published in update
         .changes
         .iter()
@@ -40,6 +41,7 @@
     {
         (feed.hooks.activate_config)(published);
     }
+    log_new_version(feed, known_version, "platform", 0);
 }
 
 /// Applies an update of the server list. If there was no update for so long that records may have lapsed during a
@@ -102,11 +104,13 @@
     }
 }
 
-/// Applies a peer's sync response. Its configuration applies whatever its age, since versions only increase. Its list
+/// Applies the sync response of `peer`. Its configuration applies whatever its age, since versions only increase. Its list
 /// applies only if its age is known and it is fresh or newer than the local one.
-pub(crate) fn peer_response(feed: &Feed, response: &SyncResponse, is_fresh: bool) {
+pub(crate) fn peer_response(feed: &Feed, peer: &str, response: &SyncResponse, is_fresh: bool) {
     if let Some(config) = &response.config {
+        let known_version = (feed.hooks.active_config_version)();
         (feed.hooks.activate_peer_config)(config);
+        log_new_version(feed, known_version, peer, response.source_age_ms);
     }
     let delta = match convert::decode_delta(response) {
         Ok(delta) => delta,
@@ -166,6 +170,24 @@
     }
 }
 
+/// Logs from where a configuration newer than `known_version` came, the age of the sender's data, and the age of this
+/// instance's data when it arrived.
+fn log_new_version(feed: &Feed, known_version: u64, from: &str, sender_age_ms: u64) {
+    let version = (feed.hooks.active_config_version)();
+    if version <= known_version {
+        return;
+    }
+    let line = json!({
+        "belief": "configuration received",
+        "version": version,
+        "known_version": known_version,
+        "from": from,
+        "sender_age_ms": sender_age_ms,
+        "own_age_ms": queries::source_age_ms(feed),
+    });
+    info!(target: "decision.config", "{line}");
+}
+
 fn log_record_errors(record_kind: &str, errors: &[String]) {
     for error in errors {
         warn!("ignored an invalid {record_kind} record: {error}");
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -202,7 +202,7 @@
         age_ms if age_ms < RECENT_AGE_MS && knows_config => SyncOutcome::Recent,
         _ => SyncOutcome::Stale,
     };
-    apply::peer_response(feed, &response, outcome == SyncOutcome::Fresh);
+    apply::peer_response(feed, &peer.name, &response, outcome == SyncOutcome::Fresh);
     outcome
 }
 
@@ -235,7 +235,8 @@
         .reads_platform
         .send_if_modified(|known| std::mem::replace(known, is_reader) != is_reader);
     if is_changed {
-        let line = json!({ "belief": "reads the platform", "holds": is_reader, "reason": reason });
+        let age_ms = queries::source_age_ms(feed);
+        let line = json!({ "belief": "reads the platform", "holds": is_reader, "reason": reason, "age_ms": age_ms });
         info!(target: "decision.belief", "{line}");
     }
 }
