Count the time of a suspension in the node's clock

Cause: a node measured leases, backoffs and the age of its data with the monotonic clock, which stands still while the machine is suspended. An instance that wakes after four seconds then tells others that its data is as young as before, and they rely on it.

Change: a node's times come from the clock since boot, and a feed takes them from the node, so that a test can run a fleet of feeds in simulated time.

A suspension can't be made in a test without rights, so none covers it.

--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -86,7 +86,9 @@
     let clone = || Arc::clone(node);
     let (for_sync, for_backoff, for_version, for_published) = (clone(), clone(), clone(), clone());
     let (for_peer_config, for_newer, for_pools, for_view) = (clone(), clone(), clone(), clone());
+    let for_clock = clone();
     Hooks {
+        now_ms: Box::new(move || for_clock.now_ms()),
         sync_peer: Box::new(move |peer, request, limit_ms| {
             let node = Arc::clone(&for_sync);
             Box::pin(async move { call(&node, &peer, "sync", &request, limit_ms).await.ok() })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! by the decision crates, which do no I/O; this crate passes them the time, exchanges their messages and
 //! connects them to the platform's log.
 
+mod clock;
 pub mod commands;
 mod metrics;
 mod node;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,7 +4,7 @@
 //! view, the active configuration) are immutable and replaced atomically as a whole.
 
 use {
-    crate::{metrics::Metrics, Settings},
+    crate::{clock::BootClock, metrics::Metrics, Settings},
     arc_swap::{ArcSwap, ArcSwapOption},
     claim::{ClaimReplica, KeyTable},
     config::{AcceptedConfig, ApplyOutcome, ConfigReplica, DocumentIndex},
@@ -20,7 +20,7 @@
             atomic::{AtomicU64, AtomicU8, Ordering},
             Arc, OnceLock,
         },
-        time::{Instant, SystemTime, UNIX_EPOCH},
+        time::{SystemTime, UNIX_EPOCH},
     },
     stream::{Batcher, PlatformClient},
     tokio::sync::{watch, Notify, OnceCell},
@@ -100,7 +100,7 @@
     pub settings: Settings,
     /// Distinguishes this process from earlier ones with the same instance name.
     pub incarnation: u64,
-    pub(crate) started: Instant,
+    pub(crate) clock: BootClock,
     pub(crate) stage: AtomicU8,
     pub(crate) platform: PlatformClient,
     /// Keeps the list of members and the configuration up to date; set only if the platform keeps them in a store.
@@ -158,7 +158,7 @@
         Ok(Self {
             claim_batchers: (0..CLAIM_STREAM_COUNT).map(batcher).collect(),
             incarnation,
-            started: Instant::now(),
+            clock: BootClock::new(),
             stage: AtomicU8::new(Stage::Starting as u8),
             feed: OnceLock::new(),
             last_fallback_retry_ms: AtomicU64::new(0),
@@ -182,9 +182,10 @@
         })
     }
 
-    /// Returns the time since the process started, in milliseconds.
+    /// Returns the time since the process started, in milliseconds, including the time for which the machine was
+    /// suspended.
     pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.clock.elapsed_ms()
     }
 
     /// Returns the lifecycle stage.
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -10,7 +10,6 @@
             atomic::{AtomicBool, Ordering},
             Arc,
         },
-        time::Instant,
     },
     stream::{PublishedConfig, Source},
     tokio::sync::watch,
@@ -25,6 +24,8 @@
 
 /// Callbacks through which a feed uses the node.
 pub struct Hooks {
+    /// Returns the time of a clock that also counts while the machine is suspended, in milliseconds.
+    pub now_ms: Box<dyn Fn() -> u64 + Send + Sync>,
     /// Sends a sync request to another instance.
     pub sync_peer: SyncPeer,
     /// Returns whether the instance of that name must not be called now because of recent failures.
@@ -75,7 +76,8 @@
     pub id: u64,
     pub(crate) source: Source,
     pub(crate) hooks: Hooks,
-    pub(crate) started: Instant,
+    /// Time at which the feed was created, in milliseconds of the node's clock.
+    pub(crate) created_ms: u64,
     pub(crate) state: Shards<FeedState>,
     /// Counter that wakes waiting tasks; increases with each change of the list or the configuration, and when a list
     /// can no longer be read.
@@ -94,12 +96,12 @@
             own,
             id: fastrand::u64(1..),
             source,
-            hooks,
-            started: Instant::now(),
+            created_ms: (hooks.now_ms)(),
             state: Shards::new(1),
             changed: watch::channel(0).0,
             is_leaving: AtomicBool::new(false),
             reads_platform: watch::channel(false).0,
+            hooks,
         }
     }
 
@@ -118,6 +120,6 @@
 
     /// Returns the time since the feed was created, in milliseconds.
     pub(crate) fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        (self.hooks.now_ms)().saturating_sub(self.created_ms)
     }
 }
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -105,7 +105,9 @@
         Arc::clone(cluster),
         Arc::clone(cluster),
     );
+    let created = Instant::now();
     let hooks = Hooks {
+        now_ms: Box::new(move || created.elapsed().as_millis() as u64),
         sync_peer: Box::new(move |_, _, timeout_ms| {
             let cluster = Arc::clone(&sync);
             Box::pin(async move {
