--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -37,7 +37,7 @@
     notify_waiters(feed);
 }
 
-/// Wakes the sync requests that wait for a newer list or configuration, or for a failure to read the platform.
+/// Wakes the sync requests that wait for newer or fresher data, or for a failure to read the platform.
 pub fn notify_waiters(feed: &Feed) {
     feed.changed.send_modify(|count| *count += 1);
 }
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -1,7 +1,10 @@
 //! Applies list updates from the platform and sync responses from peers.
 
 use {
-    crate::{commands::publish_view, queries, Feed},
+    crate::{
+        commands::{notify_waiters, publish_view},
+        queries, Feed,
+    },
     log::{info, warn},
     member::{
         commands::{
@@ -27,12 +30,9 @@
 /// a record after three missed heartbeats of 1.5 s each, so this is a little less.
 const LAPSED_AFTER_MS: u64 = 3_500;
 
-/// Activates the configuration that was read.
-pub(crate) fn configuration(feed: &Feed, update: &ListUpdate<PublishedConfig>) {
+/// Activates the configuration that was read, which is current as of `as_of_ms`.
+pub(crate) fn configuration(feed: &Feed, update: &ListUpdate<PublishedConfig>, as_of_ms: u64) {
     log_record_errors("configuration", &update.record_errors);
-    let now_ms = feed.now_ms();
-    feed.state
-        .with(0, |state| state.config_as_of_ms = Some(now_ms));
     let known_version = (feed.hooks.active_config_version)();
     for published in update
         .changes
@@ -41,12 +41,17 @@
     {
         (feed.hooks.activate_config)(published);
     }
+    // Only once it is active, since others are told its age.
+    feed.state.with(0, |state| {
+        state.config_as_of_ms = state.config_as_of_ms.max(Some(as_of_ms));
+    });
     log_new_version(feed, known_version, "platform", 0);
+    notify_waiters(feed);
 }
 
-/// Applies an update of the server list. If there was no update for so long that records may have lapsed during a
-/// platform outage, missing servers get a grace period to reappear.
-pub(crate) fn servers(feed: &Feed, update: &ListUpdate<BackendServer>) {
+/// Applies an update of the server list, which is current as of `as_of_ms`. If there was no update for so long that
+/// records may have lapsed during a platform outage, missing servers get a grace period to reappear.
+pub(crate) fn servers(feed: &Feed, update: &ListUpdate<BackendServer>, as_of_ms: u64) {
     log_record_errors("server", &update.record_errors);
     let now_ms = feed.now_ms();
     let changed = feed.state.with(0, |state| {
@@ -58,7 +63,7 @@
         let mut changed = false;
         for change in &update.changes {
             let is_changed = match &change.value {
-                Some(server) => apply_server_report(roster, server, now_ms),
+                Some(server) => apply_server_report(roster, server, as_of_ms),
                 None => remove_server(roster, &change.name, now_ms),
             };
             if is_changed {
@@ -71,12 +76,14 @@
             changed |= retain_servers(roster, now_ms, reports);
         }
         if update.is_full || state.servers_as_of_ms.is_some() {
-            state.servers_as_of_ms = Some(now_ms);
+            state.servers_as_of_ms = state.servers_as_of_ms.max(Some(as_of_ms));
         }
         changed
     });
     if changed {
         publish_view(feed);
+    } else {
+        notify_waiters(feed);
     }
 }
 
@@ -104,9 +111,16 @@
     }
 }
 
-/// Applies the sync response of `peer`. Its configuration applies whatever its age, since versions only increase. Its list
-/// applies only if its age is known and it is fresh or newer than the local one.
-pub(crate) fn peer_response(feed: &Feed, peer: &str, response: &SyncResponse, is_fresh: bool) {
+/// Applies the sync response of `peer`, which is current as of `as_of_ms`; none if its age is not known. Its configuration
+/// applies whatever its age, since versions only increase. Its list applies only if it is fresh or newer than the local
+/// one.
+pub(crate) fn peer_response(
+    feed: &Feed,
+    peer: &str,
+    response: &SyncResponse,
+    as_of_ms: Option<u64>,
+    is_fresh: bool,
+) {
     if let Some(config) = &response.config {
         let known_version = (feed.hooks.active_config_version)();
         (feed.hooks.activate_peer_config)(config);
@@ -116,12 +130,10 @@
         Ok(delta) => delta,
         Err(error) => return warn!("invalid list in a sync response: {error}"),
     };
-    if response.source_age_ms >= queries::UNKNOWN_AGE_MS {
+    let Some(as_of_ms) = as_of_ms else {
         return;
-    }
-    let now_ms = feed.now_ms();
+    };
     let changed = feed.state.with(0, |state| {
-        let as_of_ms = now_ms.saturating_sub(response.source_age_ms);
         if !is_fresh
             && state
                 .servers_as_of_ms
@@ -137,6 +149,8 @@
     });
     if changed {
         publish_view(feed);
+    } else {
+        notify_waiters(feed);
     }
 }
 
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         commands::apply,
-        queries::{self, STALE_AFTER_MS},
+        queries::{self, REFRESH_AGE_MS, STALE_AFTER_MS, STARTUP_SYNC_MS},
         Feed,
     },
     futures_util::stream::{FuturesUnordered, StreamExt},
@@ -32,21 +32,14 @@
 /// Age from which data is too old for an instance that is a sync source or owns pools, in milliseconds. The age adds up
 /// along a chain of instances, and a change must be active everywhere within two seconds.
 const SOURCE_STALE_AFTER_MS: u64 = 1_200;
-/// Age up to which an instance accepts a peer's stale data instead of reading the platform, in milliseconds.
-/// If the platform is unavailable to all instances, reads by all of them would cost calls without any gain.
-const RECENT_AGE_MS: u64 = 5_000;
-/// Of the instances that get only stale data, one in this many starts to read the platform in each round, about once a
-/// second. That keeps calls few during an outage, yet soon provides a reader if only the usual readers are cut off.
-const READ_ONE_IN: u32 = 16;
+/// Random peers asked besides the usual sources while the data is too old.
+const RANDOM_PEERS_OLD_DATA: usize = 3;
 /// Least time for which an instance reads the platform once it has begun, in milliseconds.
 const MIN_READ_MS: u64 = 3_000;
 /// Interval at which the first instance in rendezvous order checks whether it still is the first, in milliseconds.
 const ROOT_CHECK_MS: u64 = 400;
 /// Pause after a round without fresh data, in milliseconds; jitter of up to the same amount is added.
 const RETRY_PAUSE_MS: u64 = 300;
-/// Time after the start for which an instance retries its peers before it reads the platform itself, in milliseconds.
-/// If all instances start together, the first in order must read before it can respond.
-const STARTUP_SYNC_MS: u64 = 700;
 /// Delay after the start before the instance list is read, in milliseconds, so that other starting instances can
 /// announce themselves; jitter of up to the same amount is added. Also the pause between rounds during
 /// [`STARTUP_SYNC_MS`].
@@ -70,30 +63,26 @@
             sleep(Duration::from_millis(ROOT_CHECK_MS)).await;
             continue;
         }
-        // Instances on which others depend, for changes or for slots, read the platform rather than rely on a stale
-        // source.
+        // Instances on which others depend, for changes or for slots, follow the platform rather than rely on a stale
+        // source. Any other instance reads it when its own data has become too old.
         let needs_fresh = is_sync_source(&view, &feed.own.name) || (feed.hooks.owns_pools)();
-        let (required, fresh_ms) = if needs_fresh {
-            (SyncOutcome::Fresh, SOURCE_STALE_AFTER_MS)
+        let fresh_ms = if needs_fresh {
+            SOURCE_STALE_AFTER_MS
         } else {
-            (SyncOutcome::Recent, STALE_AFTER_MS)
+            STALE_AFTER_MS
         };
-        let peers = select_peers(&feed, &view, preferred);
-        let outcome = sync_with_any(&feed, &peers, fresh_ms).await;
+        let is_old = queries::data_age_ms(&feed) >= REFRESH_AGE_MS;
+        let peers = select_peers(&feed, &view, preferred, is_old);
+        let outcome = sync_with_any(&feed, &peers, fresh_ms, is_old).await;
         let is_starting = !queries::has_server_list(&feed) && feed.now_ms() < STARTUP_SYNC_MS;
-        if outcome < required && is_starting {
+        if outcome < SyncOutcome::Fresh && is_starting {
             sleep(Duration::from_millis(STARTUP_DELAY_MS)).await;
             continue;
         }
-        // Peers that respond with stale data may all be cut off from the platform, but an outage is more likely.
-        let skips_reading =
-            !needs_fresh && outcome == SyncOutcome::Stale && fastrand::u32(..READ_ONE_IN) > 0;
-        if outcome < required && skips_reading {
-            set_reading(&feed, false, "other instances have stale data too");
-        } else if outcome < required {
+        if needs_fresh && outcome < SyncOutcome::Fresh {
             set_reading(&feed, true, "no other instance has fresh enough data");
         } else if !is_root {
-            set_reading(&feed, false, "other instances have fresh enough data");
+            set_reading(&feed, false, "other instances provide the changes");
         }
         if outcome != SyncOutcome::Fresh {
             let pause_ms = RETRY_PAUSE_MS + fastrand::u64(0..=RETRY_PAUSE_MS);
@@ -112,9 +101,15 @@
     }
 }
 
-/// Returns the peers to sync with, in order: the designated sources, then one random peer, which may have changes that
-/// these lack. Leaves out peers in backoff; returns the seeds if no other peer is left.
-fn select_peers(feed: &Feed, view: &View, preferred: Vec<&Instance>) -> Vec<Instance> {
+/// Returns the peers to sync with, in order: the designated sources, then a random peer, which may have changes that
+/// these lack, or several if this instance's data is too old. Leaves out peers in backoff; returns the seeds if no other
+/// peer is left.
+fn select_peers(
+    feed: &Feed,
+    view: &View,
+    preferred: Vec<&Instance>,
+    is_old: bool,
+) -> Vec<Instance> {
     let now_ms = feed.now_ms();
     let sync_backoffs = feed.state.with(0, |state| state.sync_backoffs.clone());
     let is_usable = |instance: &&Instance| {
@@ -124,12 +119,13 @@
         !is_in_sync_backoff && !(feed.hooks.is_in_backoff)(&instance.name)
     };
     let mut peers: Vec<Instance> = preferred.into_iter().filter(is_usable).cloned().collect();
-    let others: Vec<&Instance> = member::queries::live_instances(view)
+    let mut others: Vec<&Instance> = member::queries::live_instances(view)
         .filter(is_usable)
         .filter(|other| other.name != feed.own.name && !peers.contains(other))
         .collect();
-    if !others.is_empty() {
-        peers.push(others[fastrand::usize(..others.len())].clone());
+    let random_count = if is_old { RANDOM_PEERS_OLD_DATA } else { 1 };
+    for _ in 0..random_count.min(others.len()) {
+        peers.push(others.swap_remove(fastrand::usize(..others.len())).clone());
     }
     if peers.is_empty() {
         let addresses = feed.seeds.iter().copied();
@@ -146,25 +142,35 @@
     NoResponse,
     /// The data is too old to rely on.
     Stale,
-    /// The data is not fresh, but the peer is alive and will get changes sooner than this instance would.
-    Recent,
     /// The data is younger than the limit for fresh data, and a configuration is known.
     Fresh,
 }
 
 /// Syncs with the first peer. If it has no fresh data, syncs with all others concurrently, so that several peers that
-/// don't respond cost one timeout.
-async fn sync_with_any(feed: &Feed, peers: &[Instance], fresh_ms: u64) -> SyncOutcome {
+/// don't respond cost one timeout. If this instance's data is too old, syncs with all of them at once, without a wait
+/// for further changes.
+async fn sync_with_any(
+    feed: &Feed,
+    peers: &[Instance],
+    fresh_ms: u64,
+    is_old: bool,
+) -> SyncOutcome {
     let Some((first, others)) = peers.split_first() else {
         return SyncOutcome::NoResponse;
     };
-    let mut best_outcome = sync_with(feed, first, fresh_ms).await;
+    let mut best_outcome = SyncOutcome::NoResponse;
+    let (concurrent, wait_ms) = if is_old {
+        (peers, 0)
+    } else {
+        best_outcome = sync_with(feed, first, fresh_ms, SYNC_WAIT_MS).await;
+        (others, SYNC_WAIT_MS)
+    };
     if best_outcome == SyncOutcome::Fresh {
         return best_outcome;
     }
-    let mut outcomes: FuturesUnordered<_> = others
+    let mut outcomes: FuturesUnordered<_> = concurrent
         .iter()
-        .map(|peer| sync_with(feed, peer, fresh_ms))
+        .map(|peer| sync_with(feed, peer, fresh_ms, wait_ms))
         .collect();
     while let Some(outcome) = outcomes.next().await {
         best_outcome = best_outcome.max(outcome);
@@ -175,9 +181,9 @@
     best_outcome
 }
 
-/// Syncs with one peer and applies its response. The peer's data is fresh if it is younger than `fresh_ms`; without any
-/// configuration, here or in the response, it counts as stale.
-async fn sync_with(feed: &Feed, peer: &Instance, fresh_ms: u64) -> SyncOutcome {
+/// Syncs with one peer, which may wait `wait_ms` for a change, and applies its response. The peer's data is fresh if it
+/// is younger than `fresh_ms`; without any configuration, here or in the response, it counts as stale.
+async fn sync_with(feed: &Feed, peer: &Instance, fresh_ms: u64, wait_ms: u64) -> SyncOutcome {
     let known_version = (feed.hooks.active_config_version)();
     let ((last_feed, known_list), list_digest) =
         feed.state.with(0, |state| (state.last_sync, state.digest));
@@ -185,11 +191,12 @@
         known_version,
         feed: last_feed,
         known_list,
-        wait_ms: SYNC_WAIT_MS,
+        wait_ms,
         own: encode_instance(&feed.current_instance()),
         list_digest,
     };
-    let timeout_ms = SYNC_WAIT_MS + SYNC_MARGIN_MS;
+    let timeout_ms = wait_ms + SYNC_MARGIN_MS;
+    let sent_ms = feed.now_ms();
     let Some(response) = (feed.hooks.sync_peer)(peer.clone(), request, timeout_ms).await else {
         record_no_response(feed, &peer.name);
         return SyncOutcome::NoResponse;
@@ -197,13 +204,16 @@
     feed.state
         .with(0, |state| state.sync_backoffs.remove(&peer.name));
     let knows_config = response.config.is_some() || known_version > 0;
-    let outcome = match response.source_age_ms {
-        age_ms if age_ms < fresh_ms && knows_config => SyncOutcome::Fresh,
-        age_ms if age_ms < RECENT_AGE_MS && knows_config => SyncOutcome::Recent,
-        _ => SyncOutcome::Stale,
-    };
-    apply::peer_response(feed, &peer.name, &response, outcome == SyncOutcome::Fresh);
-    outcome
+    let as_of_ms = queries::response_as_of_ms(&response, sent_ms);
+    let now_ms = feed.now_ms();
+    let is_fresh =
+        knows_config && as_of_ms.is_some_and(|as_of_ms| now_ms.saturating_sub(as_of_ms) < fresh_ms);
+    apply::peer_response(feed, &peer.name, &response, as_of_ms, is_fresh);
+    if is_fresh {
+        SyncOutcome::Fresh
+    } else {
+        SyncOutcome::Stale
+    }
 }
 
 /// Starts or doubles the sync backoff of a peer that did not respond. It is longer than the backoff for slot requests,
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -1,15 +1,22 @@
-//! Reads the platform's lists while this instance is one of the readers.
+//! Reads the platform's lists while this instance is one of the readers, and whenever its data has become too old.
+//!
+//! Invariant: an instance that the platform answers holds no configuration or list of servers older than
+//! [`queries::REFRESH_AGE_MS`] and the duration of a read, whatever other instances do.
 
 use {
     crate::{
         commands::{apply, notify_waiters},
+        queries::{self, as_of_ms},
         Feed,
     },
     log::{info, warn},
     serde_json::json,
-    std::{sync::Arc, time::Duration},
+    std::{future::Future, sync::Arc, time::Duration},
     stream::{Cursor, ListUpdate, ReadError, ReadList},
-    tokio::{sync::watch, time::sleep},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
     types::exponential_backoff_ms,
 };
 
@@ -26,11 +33,18 @@
 const SERVER_INTERVAL_MS: u64 = 400;
 /// Least time between reads of the instances, in milliseconds.
 const INSTANCE_INTERVAL_MS: u64 = 400;
+/// Time beyond its wait after which a read counts as failing although it may still be answered, in milliseconds. Other
+/// instances then turn to another source before this read has timed out.
+const LATE_AFTER_MS: u64 = 300;
 /// Least pause after the first failed read, in milliseconds; doubles with each further failure. Jitter of up to the
 /// same amount is added.
 const RETRY_FIRST_MS: u64 = 200;
 /// Longest pause after a failed read, in milliseconds; rejected calls are charged for too.
 const RETRY_MAX_MS: u64 = 1_600;
+/// Interval of the servers' heartbeats, in milliseconds; the changes of a longer time are more than the full list.
+const HEARTBEAT_MS: u64 = 1_500;
+/// Shortest time until the age of a list is checked again, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 50;
 
 /// How one of the platform's lists is read.
 #[derive(Clone, Copy, Debug)]
@@ -42,29 +56,40 @@
     min_interval_ms: u64,
     /// Whether a failure to read it is reported at once to waiting sync requests.
     is_urgent: bool,
+    /// Time since the last read after which the full list is read instead of its changes, in milliseconds; none if its
+    /// changes are always fewer.
+    full_after_ms: Option<u64>,
+    /// Returns the time until the list has to be read although this instance does not follow the platform, in
+    /// milliseconds; none if that is not due before something else changes.
+    until_refresh_ms: fn(&Feed) -> Option<u64>,
 }
 
-/// Follows the configuration whenever this instance reads the platform.
+/// Follows the configuration whenever this instance reads the platform, and reads it whenever it has become too old.
 pub async fn read_configuration(feed: Arc<Feed>) {
     let list = ListOptions {
         name: "configuration",
         wait_ms: READ_WAIT_MS,
         min_interval_ms: CONFIG_INTERVAL_MS,
         is_urgent: true,
+        full_after_ms: None,
+        until_refresh_ms: queries::until_config_refresh_ms,
     };
-    let apply_update = |update: &ListUpdate<_>| apply::configuration(&feed, update);
+    let apply_update =
+        |update: &ListUpdate<_>, as_of_ms| apply::configuration(&feed, update, as_of_ms);
     read_list(&feed, list, &feed.source.configuration, apply_update).await;
 }
 
-/// Follows the list of servers whenever this instance reads the platform.
+/// Follows the list of servers whenever this instance reads the platform, and reads it whenever it has become too old.
 pub async fn read_servers(feed: Arc<Feed>) {
     let list = ListOptions {
         name: "servers",
         wait_ms: READ_WAIT_MS,
         min_interval_ms: SERVER_INTERVAL_MS,
         is_urgent: true,
+        full_after_ms: Some(HEARTBEAT_MS),
+        until_refresh_ms: queries::until_server_refresh_ms,
     };
-    let apply_update = |update: &ListUpdate<_>| apply::servers(&feed, update);
+    let apply_update = |update: &ListUpdate<_>, as_of_ms| apply::servers(&feed, update, as_of_ms);
     read_list(&feed, list, &feed.source.servers, apply_update).await;
 }
 
@@ -75,89 +100,193 @@
         wait_ms: INSTANCE_WAIT_MS,
         min_interval_ms: INSTANCE_INTERVAL_MS,
         is_urgent: false,
+        full_after_ms: None,
+        until_refresh_ms: |_| None,
     };
-    let apply_update = |update: &ListUpdate<_>| apply::instances(&feed, update);
+    let apply_update = |update: &ListUpdate<_>, _| apply::instances(&feed, update);
     read_list(&feed, list, &feed.source.instances, apply_update).await;
 }
 
-/// Reads a list whenever this instance reads the platform; a list that is not read does not count as failing.
+/// Why a list is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Purpose {
+    /// This instance follows the platform.
+    Follow,
+    /// The list has become too old, although this instance does not follow the platform.
+    Refresh,
+}
+
+/// How far a list has been read.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// Offset at which the next read begins; none for the full list.
+    from: Option<u64>,
+    /// Time of the last successful read, in milliseconds.
+    read_ms: u64,
+    /// Failed reads since then.
+    failures: u32,
+}
+
+/// Reads a list whenever there is a purpose. All reads of a list are made here, one after the other, so that none of them
+/// undoes a later one.
 async fn read_list<Value, Apply>(
     feed: &Feed,
     list: ListOptions,
     read: &ReadList<Value>,
     apply_update: Apply,
 ) where
-    Apply: Fn(&ListUpdate<Value>),
+    Apply: Fn(&ListUpdate<Value>, u64),
 {
     let mut is_reader = feed.reads_platform.subscribe();
+    let mut progress = Progress::default();
     loop {
-        if is_reader.wait_for(|is_reader| *is_reader).await.is_err() {
+        let Some(purpose) = wait_for_purpose(feed, list, &mut is_reader).await else {
             return;
+        };
+        let pause_ms = read_once(feed, list, purpose, &mut progress, read, &apply_update).await;
+        if !*is_reader.borrow() {
+            // A list that is not followed does not count as failing.
+            set_list_failing(feed, list, false);
+        }
+        let pause = Duration::from_millis(pause_ms);
+        match purpose {
+            Purpose::Follow => sleep(pause).await,
+            // Others may come to depend on this instance during the pause, which then ends.
+            Purpose::Refresh => {
+                let _ = timeout(pause, is_reader.wait_for(|is_reader| *is_reader)).await;
+            }
+        }
+    }
+}
+
+/// Waits until the list has to be read; returns none if the feed ends.
+async fn wait_for_purpose(
+    feed: &Feed,
+    list: ListOptions,
+    is_reader: &mut watch::Receiver<bool>,
+) -> Option<Purpose> {
+    loop {
+        if *is_reader.borrow() {
+            return Some(Purpose::Follow);
+        }
+        let until_refresh_ms = (list.until_refresh_ms)(feed);
+        if until_refresh_ms == Some(0) {
+            return Some(Purpose::Refresh);
+        }
+        let until_ms = until_refresh_ms.map_or(CHECK_INTERVAL_MS, |until_ms| {
+            until_ms.max(CHECK_INTERVAL_MS)
+        });
+        let following = is_reader.wait_for(|is_reader| *is_reader);
+        if let Ok(Err(_)) = timeout(Duration::from_millis(until_ms), following).await {
+            return None;
         }
-        read_while(feed, &is_reader, list, read, &apply_update).await;
-        set_list_failing(feed, list, false);
     }
 }
 
-/// Reads the full list and then its changes, until this instance stops reading the platform.
-async fn read_while<Value, Apply>(
+/// Reads the changes, or the full list, and applies them; returns the pause until the next read, in milliseconds.
+async fn read_once<Value, Apply>(
     feed: &Feed,
-    is_reader: &watch::Receiver<bool>,
     list: ListOptions,
+    purpose: Purpose,
+    progress: &mut Progress,
     read: &ReadList<Value>,
     apply_update: &Apply,
-) where
-    Apply: Fn(&ListUpdate<Value>),
+) -> u64
+where
+    Apply: Fn(&ListUpdate<Value>, u64),
 {
-    let mut from = None;
-    let mut failures: u32 = 0;
-    while *is_reader.borrow() {
-        let cursor = Cursor {
-            from,
-            wait_ms: list.wait_ms,
-        };
-        match read(cursor).await {
-            Ok(update) => {
-                if failures > 0 {
-                    log_dependency(list.name, "regained", failures);
-                }
-                from = Some(update.next_offset);
-                apply_update(&update);
-                set_list_failing(feed, list, false);
-                failures = 0;
-                sleep(Duration::from_millis(list.min_interval_ms)).await;
+    let sent_ms = feed.now_ms();
+    let is_far_behind = list
+        .full_after_ms
+        .is_some_and(|after_ms| sent_ms.saturating_sub(progress.read_ms) > after_ms);
+    let cursor = Cursor {
+        from: progress.from.filter(|_| !is_far_behind),
+        wait_ms: if purpose == Purpose::Follow {
+            list.wait_ms
+        } else {
+            0
+        },
+    };
+    match read_and_report(feed, list, purpose, read(cursor)).await {
+        Ok(update) => {
+            if progress.failures > 0 {
+                log_dependency(list.name, "regained", progress.failures);
             }
-            // The changes since `from` are no longer kept, so the full list is read next.
-            Err(ReadError::Trimmed { .. }) if from.is_some() => from = None,
-            Err(error) => {
-                if failures == 0 {
-                    warn!("failed to read the {}: {error}", list.name);
-                    log_dependency(list.name, "lost", 0);
-                }
+            let now_ms = feed.now_ms();
+            *progress = Progress {
+                from: Some(update.next_offset),
+                read_ms: now_ms,
+                failures: 0,
+            };
+            apply_update(&update, as_of_ms(&cursor, &update, sent_ms, now_ms));
+            set_list_failing(feed, list, false);
+            list.min_interval_ms
+        }
+        // The changes are no longer kept, so the full list is read next.
+        Err(ReadError::Trimmed { .. }) if cursor.from.is_some() => {
+            progress.from = None;
+            0
+        }
+        Err(error) => {
+            if progress.failures == 0 {
+                warn!("failed to read the {}: {error}", list.name);
+                log_dependency(list.name, "lost", 0);
+            }
+            progress.failures += 1;
+            if purpose == Purpose::Follow {
+                set_list_failing(feed, list, true);
+            }
+            retry_pause_ms(purpose, progress.failures)
+        }
+    }
+}
+
+/// Awaits a read. If this instance follows the platform, a read that takes unusually long is reported as failing before
+/// its end.
+async fn read_and_report<Value, Reading>(
+    feed: &Feed,
+    list: ListOptions,
+    purpose: Purpose,
+    mut reading: Reading,
+) -> Result<ListUpdate<Value>, ReadError>
+where
+    Reading: Future<Output = Result<ListUpdate<Value>, ReadError>> + Unpin,
+{
+    let usual_limit = Duration::from_millis(list.wait_ms + LATE_AFTER_MS);
+    match timeout(usual_limit, &mut reading).await {
+        Ok(result) => result,
+        Err(_) => {
+            if purpose == Purpose::Follow {
                 set_list_failing(feed, list, true);
-                failures += 1;
-                let pause_ms = exponential_backoff_ms(RETRY_FIRST_MS, failures, RETRY_MAX_MS);
-                let jittered_ms = pause_ms / 2 + fastrand::u64(0..=pause_ms / 2);
-                sleep(Duration::from_millis(jittered_ms)).await;
             }
+            reading.await
         }
     }
 }
 
-/// Records whether a list can be read; wakes waiting sync requests when it no longer can.
+/// Returns the pause after a failed read, in milliseconds. Many instances may refresh their data during an outage, so
+/// their pause is the longest from the first failure on.
+fn retry_pause_ms(purpose: Purpose, failures: u32) -> u64 {
+    let pause_ms = match purpose {
+        Purpose::Follow => exponential_backoff_ms(RETRY_FIRST_MS, failures, RETRY_MAX_MS),
+        Purpose::Refresh => RETRY_MAX_MS,
+    };
+    pause_ms / 2 + fastrand::u64(0..=pause_ms / 2)
+}
+
+/// Records whether a list can be read; wakes waiting sync requests with each failure.
 fn set_list_failing(feed: &Feed, list: ListOptions, is_failing: bool) {
     if !list.is_urgent {
         return;
     }
-    let is_new = feed.state.with(0, |state| {
+    feed.state.with(0, |state| {
         if is_failing {
-            state.failing_lists.insert(list.name)
+            state.failing_lists.insert(list.name);
         } else {
             state.failing_lists.remove(list.name);
-            false
         }
     });
-    if is_new {
+    if is_failing {
         notify_waiters(feed);
     }
 }
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -1,6 +1,16 @@
 //! Queries: the age of the data, and responses to other instances' sync requests.
 
+mod age;
+
+pub use self::age::{has_server_list, source_age_ms};
+
+pub(crate) use self::age::{
+    as_of_ms, data_age_ms, response_as_of_ms, until_config_refresh_ms, until_server_refresh_ms,
+    REFRESH_AGE_MS, STALE_AFTER_MS, STARTUP_SYNC_MS,
+};
+
 use {
+    self::age::{current_as_of_ms, is_failing, is_initialized},
     crate::Feed,
     member::queries as roster_queries,
     std::time::Duration,
@@ -11,36 +21,9 @@
     },
 };
 
-/// Age from which data is stale, in milliseconds: an instance then syncs with further peers to get fresher data.
-pub(crate) const STALE_AFTER_MS: u64 = 2_500;
-/// Age reported until both a configuration and a full list of servers were received, in milliseconds; a day.
-pub(crate) const UNKNOWN_AGE_MS: u64 = 86_400_000;
-
-/// Returns whether a full list of servers was ever received.
-pub fn has_server_list(feed: &Feed) -> bool {
-    feed.state.with(0, |state| state.servers_as_of_ms.is_some())
-}
-
-/// Returns whether both a configuration and a full list of servers were received.
-fn is_initialized(feed: &Feed) -> bool {
-    (feed.hooks.active_config_version)() > 0 && has_server_list(feed)
-}
-
-/// Returns the age of the older of server list and configuration, in milliseconds: the time since the platform was
-/// read, here or by another instance. While this instance fails to read one of them, the age is at least that of stale
-/// data.
-pub fn source_age_ms(feed: &Feed) -> u64 {
-    let now_ms = feed.now_ms();
-    let (as_of_ms, is_failing) = feed.state.with(0, |state| {
-        let both = state.servers_as_of_ms.zip(state.config_as_of_ms);
-        let as_of_ms = both.map(|(list_ms, config_ms)| list_ms.min(config_ms));
-        (as_of_ms, !state.failing_lists.is_empty())
-    });
-    let age_ms = as_of_ms.map_or(UNKNOWN_AGE_MS, |as_of_ms| now_ms.saturating_sub(as_of_ms));
-    // Data counts as stale as soon as a read fails, so that other instances need not wait until it has aged.
-    age_ms.max(if is_failing { STALE_AFTER_MS } else { 0 })
-}
-
+/// By how much the data must have been refreshed since a sync request arrived for the response to be sent at once, in
+/// milliseconds. The refreshed age then passes from instance to instance without adding up their waits.
+const REFRESH_STEP_MS: u64 = 300;
 /// Waits until a configuration and a full list of servers were received, for `timeout_ms` at most.
 pub async fn wait_until_initialized(feed: &Feed, timeout_ms: u64) {
     let mut changed = feed.changed.subscribe();
@@ -51,10 +34,14 @@
 
 /// Returns the changes for another instance's sync request, as soon as there are any or the request's wait has passed.
 pub async fn sync_response(feed: &Feed, request: &SyncRequest) -> SyncResponse {
+    let received_ms = feed.now_ms();
     let mut changed = feed.changed.subscribe();
     let requester_version = requester_version(feed, request);
+    let as_of_ms = feed.state.with(0, |state| current_as_of_ms(state));
     let wait = async {
-        while !has_changes(feed, request.known_version, requester_version) {
+        while !has_changes(feed, request.known_version, requester_version)
+            && !is_refreshed(feed, as_of_ms)
+        {
             if changed.changed().await.is_err() {
                 return;
             }
@@ -63,12 +50,15 @@
     // Without changes, the response still reports the age of the data.
     let _ = timeout(Duration::from_millis(request.wait_ms), wait).await;
     let now_ms = feed.now_ms();
+    // Taken before the contents, which may be refreshed at any time.
+    let source_age_ms = source_age_ms(feed);
     let delta = feed.state.with(0, |state| {
         roster_queries::delta(&state.roster, requester_version, now_ms)
     });
     SyncResponse {
         config: (feed.hooks.newer_config)(request.known_version),
-        ..convert::encode_delta(&delta, feed.id, source_age_ms(feed))
+        waited_ms: now_ms.saturating_sub(received_ms),
+        ..convert::encode_delta(&delta, feed.id, source_age_ms)
     }
 }
 
@@ -93,9 +83,18 @@
         // although the rest arrives soon.
         return feed.state.with(0, |state| !state.failing_lists.is_empty());
     }
+    let now_ms = feed.now_ms();
     let is_changed = feed.state.with(0, |state| {
-        !state.failing_lists.is_empty()
+        is_failing(state, now_ms)
             || roster_queries::list_version(&state.roster) != requester_version
     });
     is_changed || (feed.hooks.active_config_version)() > known_version
 }
+
+/// Returns whether the data was refreshed by [`REFRESH_STEP_MS`] since it was current as of `since_ms`.
+fn is_refreshed(feed: &Feed, since_ms: Option<u64>) -> bool {
+    let as_of_ms = feed.state.with(0, |state| current_as_of_ms(state));
+    since_ms
+        .zip(as_of_ms)
+        .is_some_and(|(since_ms, as_of_ms)| as_of_ms >= since_ms + REFRESH_STEP_MS)
+}
--- /dev/null
+++ b/crates/feed/src/queries/age.rs
@@ -0,0 +1,113 @@
+//! The age of the configuration and of the list of servers.
+//!
+//! Ages are never underestimated: what was read or received counts as current as of the earliest time at which its sender
+//! can have made it.
+
+use {
+    crate::{state::FeedState, Feed},
+    stream::{Cursor, ListUpdate},
+    wire::generated::SyncResponse,
+};
+
+/// Age from which data is stale, in milliseconds: an instance then syncs with further peers to get fresher data.
+pub(crate) const STALE_AFTER_MS: u64 = 2_500;
+/// Age from which an instance reads the platform itself, in milliseconds. It is above the age that data reaches between
+/// two syncs, and leaves time for a read and its repetition until a change must be active everywhere.
+pub(crate) const REFRESH_AGE_MS: u64 = 1_100;
+/// Time after the start at which an instance without data reads the platform itself, in milliseconds. If all instances
+/// start together, the first in order must read before it can respond.
+pub(crate) const STARTUP_SYNC_MS: u64 = 700;
+/// Age of data from which a failure to read the platform is reported, in milliseconds; other instances may have
+/// refreshed the data since the failure.
+const FAILING_AGE_MS: u64 = 600;
+/// Age reported until both a configuration and a full list of servers were received, in milliseconds; a day.
+pub(crate) const UNKNOWN_AGE_MS: u64 = 86_400_000;
+
+/// Returns whether a full list of servers was ever received.
+pub fn has_server_list(feed: &Feed) -> bool {
+    feed.state.with(0, |state| state.servers_as_of_ms.is_some())
+}
+
+/// Returns whether both a configuration and a full list of servers were received.
+pub(super) fn is_initialized(feed: &Feed) -> bool {
+    (feed.hooks.active_config_version)() > 0 && has_server_list(feed)
+}
+
+/// Returns the time at which both the server list and the configuration were current, in milliseconds of the feed's
+/// clock; none before both were received.
+pub(super) fn current_as_of_ms(state: &FeedState) -> Option<u64> {
+    let both = state.servers_as_of_ms.zip(state.config_as_of_ms);
+    both.map(|(list_ms, config_ms)| list_ms.min(config_ms))
+}
+
+/// Returns the latest time as of which an update is certainly current, in milliseconds of the feed's clock: the time at
+/// which the read was sent or, if the platform waited in vain for a change, the end of that wait.
+pub(crate) fn as_of_ms<Value>(
+    cursor: &Cursor,
+    update: &ListUpdate<Value>,
+    sent_ms: u64,
+    now_ms: u64,
+) -> u64 {
+    let is_unchanged = cursor.from == Some(update.next_offset);
+    let waited_ms = if is_unchanged { cursor.wait_ms } else { 0 };
+    now_ms.min(sent_ms + waited_ms)
+}
+
+/// Returns the latest time as of which another instance's response to a request sent at `sent_ms` is certainly current, in
+/// milliseconds of the feed's clock; none if the age of its data is not known. The time that the messages were underway
+/// counts towards the age.
+pub(crate) fn response_as_of_ms(response: &SyncResponse, sent_ms: u64) -> Option<u64> {
+    let is_known = response.source_age_ms < UNKNOWN_AGE_MS;
+    is_known.then(|| (sent_ms + response.waited_ms).saturating_sub(response.source_age_ms))
+}
+
+/// Returns the time until this instance has to read the configuration itself, in milliseconds.
+pub(crate) fn until_config_refresh_ms(feed: &Feed) -> Option<u64> {
+    let as_of_ms = feed.state.with(0, |state| state.config_as_of_ms);
+    Some(until_refresh_ms(as_of_ms, feed.now_ms()))
+}
+
+/// Returns the time until this instance has to read the list of servers itself, in milliseconds; none while it can't
+/// even refresh the configuration, so that an outage of the platform costs one call at a time.
+pub(crate) fn until_server_refresh_ms(feed: &Feed) -> Option<u64> {
+    let now_ms = feed.now_ms();
+    let (config_ms, servers_ms) = feed
+        .state
+        .with(0, |state| (state.config_as_of_ms, state.servers_as_of_ms));
+    let is_config_due = until_refresh_ms(config_ms, now_ms) == 0;
+    (!is_config_due).then(|| until_refresh_ms(servers_ms, now_ms))
+}
+
+fn until_refresh_ms(as_of_ms: Option<u64>, now_ms: u64) -> u64 {
+    let due_ms = as_of_ms.map_or(STARTUP_SYNC_MS, |as_of_ms| as_of_ms + REFRESH_AGE_MS);
+    due_ms.saturating_sub(now_ms)
+}
+
+/// Returns the age of the older of server list and configuration, in milliseconds: the time since the platform was
+/// read, here or by another instance.
+pub(crate) fn data_age_ms(feed: &Feed) -> u64 {
+    let now_ms = feed.now_ms();
+    feed.state.with(0, |state| age_ms(state, now_ms))
+}
+
+fn age_ms(state: &FeedState, now_ms: u64) -> u64 {
+    current_as_of_ms(state).map_or(UNKNOWN_AGE_MS, |as_of_ms| now_ms.saturating_sub(as_of_ms))
+}
+
+/// Returns the age of the data, in milliseconds. While this instance fails to read the platform and no other instance
+/// refreshes its data, the age is at least that of stale data, so that others need not wait until it has aged.
+pub fn source_age_ms(feed: &Feed) -> u64 {
+    let now_ms = feed.now_ms();
+    feed.state.with(0, |state| {
+        let floor_ms = if is_failing(state, now_ms) {
+            STALE_AFTER_MS
+        } else {
+            0
+        };
+        age_ms(state, now_ms).max(floor_ms)
+    })
+}
+
+pub(super) fn is_failing(state: &FeedState, now_ms: u64) -> bool {
+    !state.failing_lists.is_empty() && age_ms(state, now_ms) >= FAILING_AGE_MS
+}
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -140,6 +140,7 @@
         whole: true,
         settled: true,
         source_age_ms: 0,
+        waited_ms: 0,
         instances: Vec::new(),
         servers: Vec::new(),
         gone_instances: Vec::new(),
--- /dev/null
+++ b/crates/feed/tests/support/mod.rs
@@ -0,0 +1,456 @@
+//! A fleet of feeds with a store and a network that fail on schedule, in simulated time.
+//!
+//! The feeds run on one thread with a paused clock, so a run is determined by its seed and its faults. What an instance
+//! believes is what it handles a request with at that moment.
+
+mod fault;
+mod store;
+
+pub(crate) use self::{
+    fault::{Fault, FaultKind},
+    store::{ServerState, StoreChange, SERVERS},
+};
+
+use {
+    self::store::{server_name, source, StoreModel},
+    config::{
+        commands::merge_accepted, queries::accepted_version, AcceptedConfig, ConfigReplica,
+        Document,
+    },
+    feed::{
+        commands::{follow, record_requester},
+        queries::sync_response,
+        Feed, Hooks,
+    },
+    member::{queries::pool_servers, Instance, Presence, View},
+    std::{
+        collections::BTreeMap,
+        future::{pending, poll_fn, Future},
+        pin::pin,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        task::Poll,
+        time::Duration,
+    },
+    tokio::{
+        runtime::Builder,
+        task::JoinHandle,
+        time::{sleep, timeout, Instant},
+    },
+    wire::generated::{ConfigResponse, SyncRequest, SyncResponse},
+};
+
+/// Time that the feeds have to settle before the first fault, in milliseconds.
+pub(crate) const SETTLE_MS: u64 = 6_000;
+/// Interval at which the beliefs of all instances are checked, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 50;
+/// Time for which an instance must have had no fault before it counts as in touch, in milliseconds.
+const STABLE_MS: u64 = 3_000;
+/// Time of one way between two processes, in milliseconds.
+const DELAY_MS: u64 = 2;
+
+/// A run of a fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) seed: u64,
+    pub(crate) instances: usize,
+    pub(crate) faults: Vec<Fault>,
+    /// Changes of the store, at times in milliseconds after the fleet has settled.
+    pub(crate) changes: Vec<StoreChange>,
+    /// Time from an acknowledgement until the change must be known everywhere, in milliseconds.
+    pub(crate) bound_ms: u64,
+    /// Whether the servers report when their processes started.
+    pub(crate) has_start_times: bool,
+}
+
+/// A wrong belief of an instance in touch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Violation {
+    pub(crate) instance: usize,
+    /// Time of the check, in milliseconds after the fleet has settled.
+    pub(crate) at_ms: u64,
+    pub(crate) what: String,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    /// First violation of each instance.
+    pub(crate) violations: Vec<Violation>,
+    /// Calls to the store, rejected ones included.
+    pub(crate) store_calls: u64,
+}
+
+/// The process of one instance.
+struct Process {
+    feed: Arc<Feed>,
+    incarnation: u64,
+    task: JoinHandle<()>,
+}
+
+/// What an instance believes.
+#[derive(Clone, Debug, Default)]
+struct Belief {
+    incarnation: u64,
+    config: ConfigReplica,
+    servers: BTreeMap<String, ServerState>,
+    /// Whether an older version replaced a newer one.
+    has_regressed: bool,
+}
+
+impl Belief {
+    fn version(&self) -> u64 {
+        accepted_version(&self.config)
+    }
+}
+
+pub(crate) struct World {
+    faults: Vec<Fault>,
+    started: Instant,
+    store: StoreModel,
+    processes: Mutex<Vec<Option<Process>>>,
+    beliefs: Mutex<Vec<Belief>>,
+    store_calls: Mutex<u64>,
+    /// Incarnation that each instance announced last.
+    announced: Mutex<Vec<u64>>,
+}
+
+impl World {
+    /// Returns the time since the start of the simulation, in milliseconds.
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    async fn sleep_ms(&self, ms: u64) {
+        sleep(Duration::from_millis(ms)).await;
+    }
+
+    fn active_faults(&self, instance: usize) -> impl Iterator<Item = &Fault> {
+        let now_ms = self.now_ms();
+        let active = move |fault: &&Fault| fault.is_active(instance, now_ms);
+        self.faults.iter().filter(active)
+    }
+
+    fn has_fault(&self, instance: usize, kinds: &[FaultKind]) -> bool {
+        self.active_faults(instance)
+            .any(|fault| kinds.contains(&fault.kind))
+    }
+
+    /// Waits until the instance's process no longer stands still.
+    async fn thaw(&self, instance: usize) {
+        loop {
+            let freezes = self.active_faults(instance);
+            let end_ms = freezes
+                .filter(|fault| fault.kind == FaultKind::Freeze)
+                .map(Fault::end_ms)
+                .max();
+            match end_ms {
+                Some(end_ms) => self.sleep_ms(end_ms - self.now_ms()).await,
+                None => return,
+            }
+        }
+    }
+
+    fn is_in_touch(&self, instance: usize) -> bool {
+        let now_ms = self.now_ms();
+        let mut faults = self.faults.iter();
+        !faults.any(|fault| fault.is_recent(instance, now_ms, STABLE_MS))
+    }
+
+    fn feed_of(&self, name: &str) -> Option<(usize, Arc<Feed>)> {
+        let index: usize = name.strip_prefix('i')?.parse().ok()?;
+        let processes = locked(&self.processes);
+        let process = processes.get(index)?.as_ref()?;
+        Some((index, Arc::clone(&process.feed)))
+    }
+
+    fn count_store_call(&self) {
+        *locked(&self.store_calls) += 1;
+    }
+
+    fn announce(&self, index: usize, incarnation: u64) {
+        locked(&self.announced)[index] = incarnation;
+    }
+
+    fn announced_instances(&self) -> Vec<Instance> {
+        let announced = locked(&self.announced);
+        let incarnations = announced.iter().copied().enumerate();
+        incarnations
+            .filter(|&(_, incarnation)| incarnation > 0)
+            .map(|(index, incarnation)| instance(index, incarnation))
+            .collect()
+    }
+
+    /// Changes the belief of an instance, unless the process that learnt of it was killed.
+    fn update_belief<Change>(&self, index: usize, incarnation: u64, change: Change)
+    where
+        Change: FnOnce(&mut Belief),
+    {
+        let mut beliefs = locked(&self.beliefs);
+        if beliefs[index].incarnation == incarnation {
+            change(&mut beliefs[index]);
+        }
+    }
+}
+
+fn locked<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn instance(index: usize, incarnation: u64) -> Instance {
+    let data_centre = ["a", "b", "c", "d"][index % 4];
+    Instance {
+        incarnation,
+        region: "r".to_owned(),
+        ..Instance::new(
+            &format!("i{index}"),
+            data_centre,
+            ([127, 0, 0, 1], 1).into(),
+        )
+    }
+}
+
+/// Passes a sync request of `from` to a peer and returns its response, or nothing once the timeout has passed.
+async fn sync(
+    world: &World,
+    from: usize,
+    peer: &Instance,
+    request: &SyncRequest,
+    timeout_ms: u64,
+) -> Option<SyncResponse> {
+    let exchange = async {
+        let (to, _) = world.feed_of(&peer.name)?;
+        send(world, from, to).await;
+        world.thaw(to).await;
+        let (_, feed) = world.feed_of(&peer.name)?;
+        record_requester(&feed, &request.own);
+        let response = sync_response(&feed, request).await;
+        world.thaw(to).await;
+        send(world, to, from).await;
+        Some(response)
+    };
+    let limit = Duration::from_millis(timeout_ms);
+    timeout(limit, exchange).await.ok().flatten()
+}
+
+/// Carries a message; never returns if it is lost.
+async fn send(world: &World, from: usize, to: usize) {
+    world.sleep_ms(DELAY_MS).await;
+    let is_lost = world.has_fault(from, &[FaultKind::Cut, FaultKind::CutOneWay])
+        || world.has_fault(to, &[FaultKind::Cut]);
+    if is_lost {
+        pending::<()>().await;
+    }
+}
+
+fn hooks(world: &Arc<World>, index: usize, incarnation: u64) -> Hooks {
+    let clone = || Arc::clone(world);
+    let (for_clock, for_sync, for_version, for_activate) = (clone(), clone(), clone(), clone());
+    let (for_peer, for_newer, for_view) = (clone(), clone(), clone());
+    let activate = move |world: &World, version: u64| {
+        let accepted = AcceptedConfig {
+            version,
+            digest: String::new(),
+            through_offset: 0,
+            document: Document::default(),
+        };
+        world.update_belief(index, incarnation, |belief| {
+            let former_version = belief.version();
+            merge_accepted(&mut belief.config, &accepted);
+            belief.has_regressed |= belief.version() < former_version;
+        });
+    };
+    Hooks {
+        now_ms: Box::new(move || for_clock.now_ms()),
+        sync_peer: Box::new(move |peer, request, timeout_ms| {
+            let world = Arc::clone(&for_sync);
+            Box::pin(async move { sync(&world, index, &peer, &request, timeout_ms).await })
+        }),
+        is_in_backoff: Box::new(|_| false),
+        active_config_version: Box::new(move || locked(&for_version.beliefs)[index].version()),
+        activate_config: Box::new(move |published| activate(&for_activate, published.version)),
+        activate_peer_config: Box::new(move |config| activate(&for_peer, config.version)),
+        newer_config: Box::new(move |known_version| {
+            let version = locked(&for_newer.beliefs)[index].version();
+            (version > known_version).then(|| ConfigResponse {
+                digest: String::new(),
+                document: None,
+                through_offset: 0,
+                version,
+            })
+        }),
+        owns_pools: Box::new(move || index.is_multiple_of(10)),
+        publish_view: Box::new(move |view: Arc<View>| {
+            let servers = believed_servers(&view);
+            for_view.update_belief(index, incarnation, |belief| belief.servers = servers);
+        }),
+    }
+}
+
+fn believed_servers(view: &View) -> BTreeMap<String, ServerState> {
+    let servers = pool_servers(view, "service", "r");
+    let states = servers.map(|server| {
+        let state = match server.presence {
+            Presence::Live => ServerState::Live,
+            Presence::Leaving => ServerState::Leaving,
+        };
+        (server.name.clone(), state)
+    });
+    states.collect()
+}
+
+/// Starts the process of an instance; ends the former one.
+fn start(world: &Arc<World>, index: usize) {
+    let former = locked(&world.processes)[index].take();
+    let incarnation = former.as_ref().map_or(1, |process| process.incarnation + 1);
+    if let Some(former) = former {
+        former.task.abort();
+    }
+    locked(&world.beliefs)[index] = Belief {
+        incarnation,
+        ..Belief::default()
+    };
+    let feed = Arc::new(Feed::new(
+        instance(index, incarnation),
+        &[],
+        source(world, index),
+        hooks(world, index, incarnation),
+    ));
+    let task = tokio::spawn(run_unless_frozen(
+        Arc::clone(world),
+        index,
+        follow(Arc::clone(&feed)),
+    ));
+    locked(&world.processes)[index] = Some(Process {
+        feed,
+        incarnation,
+        task,
+    });
+}
+
+/// Runs the work of a process, which makes no progress while the process stands still.
+async fn run_unless_frozen<Work>(world: Arc<World>, index: usize, work: Work)
+where
+    Work: Future<Output = ()>,
+{
+    let mut work = pin!(work);
+    loop {
+        world.thaw(index).await;
+        let until_frozen = poll_fn(|context| {
+            if world.has_fault(index, &[FaultKind::Freeze]) {
+                return Poll::Ready(false);
+            }
+            work.as_mut().poll(context).map(|()| true)
+        });
+        if until_frozen.await {
+            return;
+        }
+    }
+}
+
+/// Checks the beliefs of all instances in touch against what the store has acknowledged.
+fn check(world: &World, bound_ms: u64, outcome: &mut Outcome) {
+    let now_ms = world.now_ms();
+    // What was acknowledged just then is due only afterwards.
+    let due_ms = now_ms.saturating_sub(bound_ms + 1);
+    let beliefs = locked(&world.beliefs).clone();
+    for (instance, belief) in beliefs.iter().enumerate() {
+        let is_reported = outcome
+            .violations
+            .iter()
+            .any(|violation| violation.instance == instance);
+        if is_reported || !world.is_in_touch(instance) {
+            continue;
+        }
+        if let Some(what) = find_error(&world.store, belief, due_ms, now_ms) {
+            outcome.violations.push(Violation {
+                instance,
+                at_ms: now_ms - SETTLE_MS,
+                what,
+            });
+        }
+    }
+}
+
+/// Returns what is wrong with a belief at `now_ms` if everything acknowledged by `due_ms` must be known.
+fn find_error(store: &StoreModel, belief: &Belief, due_ms: u64, now_ms: u64) -> Option<String> {
+    let required = store.version(due_ms);
+    if belief.has_regressed {
+        return Some("an older version replaced a newer one".to_owned());
+    }
+    if belief.version() < required {
+        return Some(format!("version {}, {required} was due", belief.version()));
+    }
+    let wrong = (0..SERVERS).find_map(|server| {
+        let states = store.server_states(server, due_ms, now_ms);
+        let believed = belief.servers.get(&server_name(server)).copied();
+        let believed = believed.unwrap_or(ServerState::Gone);
+        (!states.contains(&believed)).then_some((server, believed, states))
+    });
+    wrong.map(|(server, believed, states)| {
+        format!("server {server} is {believed:?}, was {states:?} since")
+    })
+}
+
+/// Plays a scenario and returns what it showed.
+pub(crate) fn play(scenario: &Scenario) -> Outcome {
+    fastrand::seed(scenario.seed);
+    let runtime = Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build();
+    let runtime = runtime.expect("a runtime without I/O can be built");
+    runtime.block_on(run(scenario))
+}
+
+async fn run(scenario: &Scenario) -> Outcome {
+    let count = scenario.instances;
+    let world = Arc::new(new_world(scenario));
+    for index in 0..count {
+        start(&world, index);
+    }
+    let last_fault_ms = world.faults.iter().map(Fault::end_ms).max();
+    let last_change_ms = scenario.changes.iter().map(|change| change.at_ms).max();
+    let last_ms = last_fault_ms.max(last_change_ms.map(|at_ms| at_ms + SETTLE_MS));
+    let end_ms = last_ms.unwrap_or(SETTLE_MS) + STABLE_MS + scenario.bound_ms;
+    let mut outcome = Outcome::default();
+    world.sleep_ms(SETTLE_MS).await;
+    while world.now_ms() < end_ms {
+        let now_ms = world.now_ms();
+        let killed = world.faults.iter().filter(|fault| {
+            fault.kind == FaultKind::Kill
+                && fault.at_ms <= now_ms
+                && now_ms < fault.at_ms + CHECK_INTERVAL_MS
+        });
+        for &index in killed.flat_map(|fault| &fault.instances) {
+            start(&world, index);
+        }
+        check(&world, scenario.bound_ms, &mut outcome);
+        world.sleep_ms(CHECK_INTERVAL_MS).await;
+    }
+    outcome.store_calls = *locked(&world.store_calls);
+    for process in locked(&world.processes).drain(..).flatten() {
+        process.task.abort();
+    }
+    outcome
+}
+
+fn new_world(scenario: &Scenario) -> World {
+    let faults = scenario.faults.iter().map(|fault| Fault {
+        at_ms: fault.at_ms + SETTLE_MS,
+        ..fault.clone()
+    });
+    let changes = scenario.changes.iter().map(|change| StoreChange {
+        at_ms: change.at_ms + SETTLE_MS,
+        ..*change
+    });
+    let changes: Vec<StoreChange> = changes.collect();
+    World {
+        faults: faults.collect(),
+        started: Instant::now(),
+        store: StoreModel::new(&changes, scenario.has_start_times),
+        processes: Mutex::new((0..scenario.instances).map(|_| None).collect()),
+        beliefs: Mutex::new(vec![Belief::default(); scenario.instances]),
+        store_calls: Mutex::new(0),
+        announced: Mutex::new(vec![0; scenario.instances]),
+    }
+}
--- /dev/null
+++ b/crates/feed/tests/support/store.rs
@@ -0,0 +1,300 @@
+//! A model of the platform's store, whose contents at any time follow from a list of changes.
+
+use {
+    super::{fault::FaultKind, World, DELAY_MS},
+    config::Document,
+    member::{BackendServer, Instance, Presence},
+    std::{future::pending, sync::Arc},
+    stream::{Change, Cursor, ListUpdate, PublishedConfig, ReadError, Source},
+    tokio::time::timeout,
+};
+
+/// Number of backend servers.
+pub(crate) const SERVERS: usize = 24;
+/// Interval of the servers' heartbeats, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
+/// Time of the last heartbeats, in milliseconds; later than the end of any run.
+const LAST_HEARTBEAT_MS: u64 = 120_000;
+/// Time that a read may take in addition to its wait, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 600;
+/// Time that a read of a full list may take, in milliseconds.
+const FULL_READ_TIMEOUT_MS: u64 = 1_200;
+/// Longest delay of an answer while the store is slow, in milliseconds.
+const SLOW_MS: u64 = 900;
+
+/// What the list of servers says of one of them.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum ServerState {
+    Live,
+    Leaving,
+    Gone,
+}
+
+/// A change of the store, with its time in milliseconds of the simulation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StoreChange {
+    pub(crate) at_ms: u64,
+    /// The server that changes and its new state; none for a new version of the configuration.
+    pub(crate) server: Option<(usize, ServerState)>,
+}
+
+/// The contents of the store.
+#[derive(Debug)]
+pub(crate) struct StoreModel {
+    changes: Vec<StoreChange>,
+    /// By server: the times at which its record is written or deleted, in order.
+    writes: Vec<Vec<u64>>,
+    /// Whether the servers report when their processes started.
+    has_start_times: bool,
+}
+
+impl StoreModel {
+    pub(crate) fn new(changes: &[StoreChange], has_start_times: bool) -> Self {
+        let mut store = Self {
+            changes: changes.to_vec(),
+            writes: Vec::new(),
+            has_start_times,
+        };
+        let writes = (0..SERVERS).map(|server| store.heartbeats_and_changes(server));
+        store.writes = writes.collect();
+        store
+    }
+
+    fn changes_of(&self, server: Option<usize>) -> impl Iterator<Item = &StoreChange> {
+        let matching = move |change: &&StoreChange| change.server.map(|(at, _)| at) == server;
+        self.changes.iter().filter(matching)
+    }
+
+    /// Returns the version of the configuration at `now_ms`.
+    pub(crate) fn version(&self, now_ms: u64) -> u64 {
+        let published = self.changes_of(None);
+        1 + published.filter(|change| change.at_ms <= now_ms).count() as u64
+    }
+
+    pub(crate) fn server_state(&self, server: usize, now_ms: u64) -> ServerState {
+        let changes = self.changes_of(Some(server));
+        let last = changes.filter(|change| change.at_ms <= now_ms).last();
+        last.and_then(|change| change.server)
+            .map_or(ServerState::Live, |(_, state)| state)
+    }
+
+    /// Returns the states that the server had at any time from `from_ms` to `to_ms`.
+    pub(crate) fn server_states(
+        &self,
+        server: usize,
+        from_ms: u64,
+        to_ms: u64,
+    ) -> Vec<ServerState> {
+        let since = self.changes_of(Some(server));
+        let since = since.filter(|change| (from_ms..=to_ms).contains(&change.at_ms));
+        let states = since.filter_map(|change| change.server.map(|(_, state)| state));
+        [self.server_state(server, from_ms)]
+            .into_iter()
+            .chain(states)
+            .collect()
+    }
+
+    /// Returns the number of writes of the server's record up to `now_ms`, deletions included.
+    fn write_count(&self, server: usize, now_ms: u64) -> usize {
+        self.writes[server].partition_point(|&at_ms| at_ms <= now_ms)
+    }
+
+    /// Returns the time of the last write of the server's record up to `now_ms`.
+    fn last_write(&self, server: usize, now_ms: u64) -> u64 {
+        let last = self.write_count(server, now_ms).checked_sub(1);
+        last.map_or(0, |at| self.writes[server][at])
+    }
+
+    fn heartbeats_and_changes(&self, server: usize) -> Vec<u64> {
+        let first_ms = server as u64 * HEARTBEAT_MS / SERVERS as u64;
+        let beats = (first_ms..=LAST_HEARTBEAT_MS).step_by(HEARTBEAT_MS as usize);
+        let beats = beats.filter(|&at_ms| self.server_state(server, at_ms) != ServerState::Gone);
+        let changes = self.changes_of(Some(server)).map(|change| change.at_ms);
+        let mut writes: Vec<u64> = beats.chain(changes).collect();
+        writes.sort_unstable();
+        writes
+    }
+
+    fn server_record(&self, server: usize, now_ms: u64) -> Option<BackendServer> {
+        let presence = match self.server_state(server, now_ms) {
+            ServerState::Live => Presence::Live,
+            ServerState::Leaving => Presence::Leaving,
+            ServerState::Gone => return None,
+        };
+        Some(BackendServer {
+            presence,
+            sequence: self.write_count(server, now_ms) as u64,
+            started_at_ms: u64::from(self.has_start_times),
+            region: "r".to_owned(),
+            ..BackendServer::new(
+                &server_name(server),
+                "service",
+                "a",
+                ([127, 0, 0, 1], 2).into(),
+                4,
+            )
+        })
+    }
+
+    /// Returns the time at which the servers' records change next after `now_ms`, at most `limit_ms`.
+    fn next_write(&self, now_ms: u64, limit_ms: u64) -> u64 {
+        let next = |server: usize| {
+            let at = self.write_count(server, now_ms);
+            self.writes[server].get(at).copied()
+        };
+        let next_ms = (0..SERVERS).filter_map(next).min();
+        next_ms.map_or(limit_ms, |at_ms| at_ms.min(limit_ms))
+    }
+
+    fn next_version(&self, now_ms: u64, limit_ms: u64) -> u64 {
+        let times = self.changes_of(None).map(|change| change.at_ms);
+        let next = times.filter(|&at_ms| at_ms > now_ms).min();
+        next.map_or(limit_ms, |at_ms| at_ms.min(limit_ms))
+    }
+
+    fn read_configuration(&self, from: Option<u64>, now_ms: u64) -> ListUpdate<PublishedConfig> {
+        let version = self.version(now_ms);
+        let published = PublishedConfig {
+            version,
+            document: Document::default(),
+        };
+        let is_new = from.is_none_or(|from| from < version);
+        let change = Change {
+            name: "config".to_owned(),
+            value: Some(published),
+        };
+        ListUpdate {
+            is_full: from.is_none(),
+            next_offset: version,
+            changes: is_new.then_some(change).into_iter().collect(),
+            record_errors: Vec::new(),
+        }
+    }
+
+    fn read_servers(&self, from: Option<u64>, now_ms: u64) -> ListUpdate<BackendServer> {
+        let changed = (0..SERVERS)
+            .filter(|&server| from.is_none_or(|from| self.last_write(server, now_ms) > from));
+        let last_ms = (0..SERVERS)
+            .map(|server| self.last_write(server, now_ms))
+            .max();
+        let changes = changed.map(|server| Change {
+            name: server_name(server),
+            value: self.server_record(server, now_ms),
+        });
+        ListUpdate {
+            is_full: from.is_none(),
+            next_offset: last_ms.unwrap_or(0),
+            changes: changes
+                .filter(|change| from.is_some() || change.value.is_some())
+                .collect(),
+            record_errors: Vec::new(),
+        }
+    }
+}
+
+pub(crate) fn server_name(server: usize) -> String {
+    format!("s{server:02}")
+}
+
+/// Answers a read by `index`: waits for a change and makes the answer, or fails as the active faults demand.
+async fn read<Value, NextChange, Make>(
+    world: &World,
+    index: usize,
+    cursor: Cursor,
+    next_change: NextChange,
+    make: Make,
+) -> Result<ListUpdate<Value>, ReadError>
+where
+    NextChange: Fn(&StoreModel, u64, u64) -> u64,
+    Make: Fn(&StoreModel, Option<u64>, u64) -> ListUpdate<Value>,
+{
+    world.count_store_call();
+    let timeout_ms = match cursor.from {
+        Some(_) => cursor.wait_ms + READ_TIMEOUT_MS,
+        None => FULL_READ_TIMEOUT_MS,
+    };
+    let answer = async {
+        world.sleep_ms(DELAY_MS).await;
+        if world.has_fault(index, &[FaultKind::StoreRejects]) {
+            world.sleep_ms(DELAY_MS).await;
+            return Err(ReadError::Unavailable);
+        }
+        wait_unless_lost(world, index).await;
+        if let Some(from) = cursor.from {
+            let now_ms = world.now_ms();
+            let next_ms = next_change(&world.store, now_ms, now_ms + cursor.wait_ms);
+            if make(&world.store, Some(from), now_ms).changes.is_empty() {
+                world.sleep_ms(next_ms - now_ms).await;
+            }
+        }
+        let update = make(&world.store, cursor.from, world.now_ms());
+        if world.has_fault(index, &[FaultKind::StoreSlow]) {
+            world.sleep_ms(fastrand::u64(..SLOW_MS)).await;
+        }
+        wait_unless_lost(world, index).await;
+        world.sleep_ms(DELAY_MS).await;
+        Ok(update)
+    };
+    let result = timeout(std::time::Duration::from_millis(timeout_ms), answer).await;
+    result.unwrap_or(Err(ReadError::Unavailable))
+}
+
+/// Never returns if messages between the instance and the store are lost now.
+async fn wait_unless_lost(world: &World, index: usize) {
+    if world.has_fault(index, &[FaultKind::StoreSilent, FaultKind::Cut]) {
+        pending::<()>().await;
+    }
+}
+
+/// Returns the store as the instance `index` sees it.
+pub(crate) fn source(world: &Arc<World>, index: usize) -> Source {
+    let (config, servers, instances) = (Arc::clone(world), Arc::clone(world), Arc::clone(world));
+    let announcing = Arc::clone(world);
+    Source {
+        configuration: Box::new(move |cursor| {
+            let world = Arc::clone(&config);
+            Box::pin(async move {
+                let (next, make) = (StoreModel::next_version, StoreModel::read_configuration);
+                read(&world, index, cursor, next, make).await
+            })
+        }),
+        servers: Box::new(move |cursor| {
+            let world = Arc::clone(&servers);
+            Box::pin(async move {
+                let (next, make) = (StoreModel::next_write, StoreModel::read_servers);
+                read(&world, index, cursor, next, make).await
+            })
+        }),
+        instances: Box::new(move |cursor| {
+            let world = Arc::clone(&instances);
+            Box::pin(async move {
+                let next = |_: &StoreModel, _, limit_ms| limit_ms;
+                let make = |_: &StoreModel, from: Option<u64>, _| ListUpdate {
+                    is_full: from.is_none(),
+                    next_offset: 0,
+                    changes: if from.is_none() {
+                        listed_instances(&world)
+                    } else {
+                        Vec::new()
+                    },
+                    record_errors: Vec::new(),
+                };
+                read(&world, index, cursor, next, make).await
+            })
+        }),
+        announce: Box::new(move |own| {
+            announcing.announce(index, own.incarnation);
+            Box::pin(async { Ok(()) })
+        }),
+        withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
+    }
+}
+
+fn listed_instances(world: &World) -> Vec<Change<Instance>> {
+    let listed = world.announced_instances().into_iter();
+    let changes = listed.map(|instance| Change {
+        name: instance.name.clone(),
+        value: Some(instance),
+    });
+    changes.collect()
+}
--- a/crates/wire/src/convert/members.rs
+++ b/crates/wire/src/convert/members.rs
@@ -74,8 +74,9 @@
     })
 }
 
-/// Encodes the changes for another instance; the calling code adds the configuration. `feed` is the id of the
-/// feed that assigned the version of the list, `source_age_ms` the age of the platform's data in the list.
+/// Encodes the changes for another instance; the calling code adds the configuration and the time for which the request
+/// waited. `feed` is the id of the feed that assigned the version of the list, `source_age_ms` the age of the platform's
+/// data in the list.
 pub fn encode_delta(delta: &Delta, feed: u64, source_age_ms: u64) -> SyncResponse {
     SyncResponse {
         feed,
@@ -84,6 +85,7 @@
         whole: delta.is_full,
         settled: delta.removals_final,
         source_age_ms,
+        waited_ms: 0,
         instances: delta.instances.iter().map(encode_instance).collect(),
         servers: delta.servers.iter().map(encode_server).collect(),
         gone_instances: delta.gone_instances.clone(),
