Make each list of servers from one source at a time

Cause: an instance merged entries of several sources in the order of their arrival. A late full list removed servers with newer reports; a removal was ignored for good if an entry seemed newer; an instance that kept missing servers for a grace period told others that they were listed; a server with a lower number in another instance's list could not return after its removal; data from before an instance's start counted as current as of its start. Reading the times of arrival as exact hid all of it.

Change: changes apply only to the list that they were made for (the base), a list from elsewhere replaces the whole if it is newer, and an instance whose list differs although it has every change gets the full list. A requester states the age of its data, and gets no list that is older. A grace period begins only if many servers are missing, so that one cut off for seconds doesn't keep a server that has left.

--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -31,6 +31,7 @@
     let view = feed.state.with(0, |state| {
         state.view = Arc::new(queries::view(&state.roster));
         state.digest = queries::digest(&state.roster);
+        state.server_digest = queries::server_digest(&state.roster);
         Arc::clone(&state.view)
     });
     (feed.hooks.publish_view)(view);
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         commands::{notify_waiters, publish_view},
-        queries, Feed,
+        queries,
+        state::{FeedState, ListBase},
+        Feed,
     },
     log::{info, warn},
     member::{
@@ -11,7 +13,8 @@
             apply_delta, apply_instance_report, apply_server_report, expire_servers,
             remove_instance, remove_server, retain_instances, retain_servers, start_grace_period,
         },
-        BackendServer, Instance, Presence,
+        queries::have_records_lapsed,
+        BackendServer, Delta, Instance, Presence,
     },
     serde_json::json,
     std::{collections::HashSet, sync::Arc, time::Duration},
@@ -19,7 +22,7 @@
     tokio::time::sleep,
     wire::{
         convert,
-        generated::{ListedInstance, SyncResponse},
+        generated::{ListedInstance, SyncRequest, SyncResponse},
     },
 };
 
@@ -49,22 +52,37 @@
     notify_waiters(feed);
 }
 
-/// Applies an update of the server list, which is current as of `as_of_ms`. If there was no update for so long that
-/// records may have lapsed during a platform outage, missing servers get a grace period to reappear.
-pub(crate) fn servers(feed: &Feed, update: &ListUpdate<BackendServer>, as_of_ms: u64) {
+/// Applies an update of the server list, which is current as of `as_of_ms`; returns whether it applies, and otherwise the
+/// full list must be read again. If there was no update for so long that records may have lapsed during a platform outage, and
+/// many servers are missing, these get a grace period to reappear.
+pub(crate) fn servers(feed: &Feed, update: &ListUpdate<BackendServer>, as_of_ms: u64) -> bool {
     log_record_errors("server", &update.record_errors);
     let now_ms = feed.now_ms();
     let changed = feed.state.with(0, |state| {
+        // Another instance's list that arrived during the read may be newer.
+        let is_applicable = if update.is_full {
+            state.peer_list_ms <= as_of_ms
+        } else {
+            state.base == ListBase::Platform
+        };
+        if !is_applicable {
+            return None;
+        }
+        state.base = ListBase::Platform;
         let roster = &mut state.roster;
         let last_update_ms = state.servers_as_of_ms.unwrap_or(now_ms);
-        if now_ms.saturating_sub(last_update_ms) >= LAPSED_AFTER_MS {
+        let reports = || update.changes.iter().filter_map(|c| c.value.as_ref());
+        if now_ms.saturating_sub(last_update_ms) >= LAPSED_AFTER_MS
+            && update.is_full
+            && have_records_lapsed(roster, reports())
+        {
             start_grace_period(roster, now_ms);
         }
         let mut changed = false;
         for change in &update.changes {
             let is_changed = match &change.value {
                 Some(server) => apply_server_report(roster, server, as_of_ms),
-                None => remove_server(roster, &change.name, now_ms),
+                None => remove_server(roster, &change.name, as_of_ms),
             };
             if is_changed {
                 log_server(&change.name, change.value.as_ref());
@@ -72,15 +90,18 @@
             changed |= is_changed;
         }
         if update.is_full {
-            let reports = update.changes.iter().filter_map(|c| c.value.as_ref());
-            changed |= retain_servers(roster, now_ms, reports);
+            changed |= retain_servers(roster, as_of_ms, reports());
         }
-        if update.is_full || state.servers_as_of_ms.is_some() {
-            state.servers_as_of_ms = state.servers_as_of_ms.max(Some(as_of_ms));
-        }
-        changed
+        state.servers_as_of_ms = state.servers_as_of_ms.max(Some(as_of_ms));
+        Some(changed)
     });
-    if changed {
+    notify_of_list(feed, changed.unwrap_or(false));
+    changed.is_some()
+}
+
+/// Publishes the view if the list has changed; wakes the waiting sync requests in any case.
+fn notify_of_list(feed: &Feed, is_changed: bool) {
+    if is_changed {
         publish_view(feed);
     } else {
         notify_waiters(feed);
@@ -111,15 +132,15 @@
     }
 }
 
-/// Applies the sync response of `peer`, which is current as of `as_of_ms`; none if its age is not known. Its configuration
-/// applies whatever its age, since versions only increase. Its list applies only if it is fresh or newer than the local
-/// one.
+/// Applies the response of `peer` to a request, which is current as of `as_of_ms`; none if its age is not known. Its
+/// configuration applies whatever its age, since versions only increase. Its list applies only if it is newer than the
+/// local one, and its changes only to the list that the request stated; without a list it may still have instances.
 pub(crate) fn peer_response(
     feed: &Feed,
     peer: &str,
+    request: &SyncRequest,
     response: &SyncResponse,
     as_of_ms: Option<u64>,
-    is_fresh: bool,
 ) {
     if let Some(config) = &response.config {
         let known_version = (feed.hooks.active_config_version)();
@@ -130,28 +151,46 @@
         Ok(delta) => delta,
         Err(error) => return warn!("invalid list in a sync response: {error}"),
     };
+    if delta.version == 0 {
+        return instance_changes(feed, &delta);
+    }
     let Some(as_of_ms) = as_of_ms else {
         return;
     };
+    let now_ms = feed.now_ms();
     let changed = feed.state.with(0, |state| {
-        if !is_fresh
-            && state
-                .servers_as_of_ms
-                .is_some_and(|known_ms| known_ms >= as_of_ms)
-        {
+        state.config_as_of_ms = state.config_as_of_ms.max(Some(as_of_ms));
+        let is_newer = state.servers_as_of_ms < Some(as_of_ms);
+        if !is_newer || !(delta.is_full || is_unchanged(state, request)) {
             return false;
         }
         let changed = apply_delta(&mut state.roster, &delta, &feed.own.name, as_of_ms);
-        state.servers_as_of_ms = state.servers_as_of_ms.max(Some(as_of_ms));
-        state.config_as_of_ms = state.config_as_of_ms.max(Some(as_of_ms));
-        state.last_sync = (response.feed, response.list_version);
+        state.servers_as_of_ms = Some(as_of_ms);
+        state.peer_list_ms = now_ms;
+        state.base = ListBase::Peer {
+            feed: response.feed,
+            version: response.list_version,
+        };
         changed
     });
-    if changed {
-        publish_view(feed);
-    } else {
-        notify_waiters(feed);
-    }
+    notify_of_list(feed, changed);
+}
+
+/// Applies changes of the instances alone, whose reports are ordered by the starts of the processes.
+fn instance_changes(feed: &Feed, delta: &Delta) {
+    let changed = feed.state.with(0, |state| {
+        apply_delta(&mut state.roster, delta, &feed.own.name, 0)
+    });
+    notify_of_list(feed, changed);
+}
+
+/// Returns whether the list of servers is still the one that the request stated.
+fn is_unchanged(state: &FeedState, request: &SyncRequest) -> bool {
+    let stated = ListBase::Peer {
+        feed: request.feed,
+        version: request.known_list,
+    };
+    state.base == stated || state.server_digest == request.server_digest
 }
 
 /// Adds the instance that sent a sync request to the roster. During a platform outage this is the only way to learn of
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -16,12 +16,11 @@
     std::{sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
     types::exponential_backoff_ms,
-    wire::{convert::encode_instance, generated::SyncRequest},
 };
 
 /// How long a peer may delay its sync response until it has a change, in milliseconds. Together with [`SYNC_MARGIN_MS`]
 /// it bounds the wait for a peer that has stopped responding.
-const SYNC_WAIT_MS: u64 = 500;
+const SYNC_WAIT_MS: u64 = 1_000;
 /// Time allowed for a sync response in addition to [`SYNC_WAIT_MS`], in milliseconds: slow instances have a tenth of a
 /// core, and a lost packet costs 200 ms.
 const SYNC_MARGIN_MS: u64 = 600;
@@ -29,9 +28,6 @@
 const SYNC_BACKOFF_MIN_MS: u64 = 1_500;
 /// Longest sync backoff of a peer, in milliseconds.
 const SYNC_BACKOFF_MAX_MS: u64 = 12_000;
-/// Age from which data is too old for an instance that is a sync source or owns pools, in milliseconds. The age adds up
-/// along a chain of instances, and a change must be active everywhere within two seconds.
-const SOURCE_STALE_AFTER_MS: u64 = 1_200;
 /// Random peers asked besides the usual sources while the data is too old.
 const RANDOM_PEERS_OLD_DATA: usize = 3;
 /// Least time for which an instance reads the platform once it has begun, in milliseconds.
@@ -63,23 +59,20 @@
             sleep(Duration::from_millis(ROOT_CHECK_MS)).await;
             continue;
         }
-        // Instances on which others depend, for changes or for slots, follow the platform rather than rely on a stale
-        // source. Any other instance reads it when its own data has become too old.
-        let needs_fresh = is_sync_source(&view, &feed.own.name) || (feed.hooks.owns_pools)();
-        let fresh_ms = if needs_fresh {
-            SOURCE_STALE_AFTER_MS
-        } else {
-            STALE_AFTER_MS
-        };
-        let is_old = queries::data_age_ms(&feed) >= REFRESH_AGE_MS;
+        // The first list is long, so it is requested from one peer at a time.
+        let is_old = queries::has_server_list(&feed) && !queries::has_fresh_data(&feed);
         let peers = select_peers(&feed, &view, preferred, is_old);
-        let outcome = sync_with_any(&feed, &peers, fresh_ms, is_old).await;
-        let is_starting = !queries::has_server_list(&feed) && feed.now_ms() < STARTUP_SYNC_MS;
-        if outcome < SyncOutcome::Fresh && is_starting {
+        let outcome = sync_with_any(&feed, &peers, is_old).await;
+        let is_fresh = queries::has_fresh_data(&feed);
+        let is_starting = !queries::has_server_list(&feed) && feed.uptime_ms() < STARTUP_SYNC_MS;
+        if !is_fresh && is_starting {
             sleep(Duration::from_millis(STARTUP_DELAY_MS)).await;
             continue;
         }
-        if needs_fresh && outcome < SyncOutcome::Fresh {
+        // Instances on which others depend, for changes or for slots, follow the platform rather than rely on a stale
+        // source. Any other instance reads it when its own data has become too old.
+        let needs_fresh = is_sync_source(&view, &feed.own.name) || (feed.hooks.owns_pools)();
+        if needs_fresh && !is_fresh {
             set_reading(&feed, true, "no other instance has fresh enough data");
         } else if !is_root {
             set_reading(&feed, false, "other instances provide the changes");
@@ -140,21 +133,16 @@
 enum SyncOutcome {
     /// The peer did not respond in time.
     NoResponse,
-    /// The data is too old to rely on.
+    /// The peer's data is too old.
     Stale,
-    /// The data is younger than the limit for fresh data, and a configuration is known.
+    /// The peer's data is young enough.
     Fresh,
 }
 
 /// Syncs with the first peer. If it has no fresh data, syncs with all others concurrently, so that several peers that
 /// don't respond cost one timeout. If this instance's data is too old, syncs with all of them at once, without a wait
 /// for further changes.
-async fn sync_with_any(
-    feed: &Feed,
-    peers: &[Instance],
-    fresh_ms: u64,
-    is_old: bool,
-) -> SyncOutcome {
+async fn sync_with_any(feed: &Feed, peers: &[Instance], is_old: bool) -> SyncOutcome {
     let Some((first, others)) = peers.split_first() else {
         return SyncOutcome::NoResponse;
     };
@@ -162,7 +150,7 @@
     let (concurrent, wait_ms) = if is_old {
         (peers, 0)
     } else {
-        best_outcome = sync_with(feed, first, fresh_ms, SYNC_WAIT_MS).await;
+        best_outcome = sync_with(feed, first, SYNC_WAIT_MS).await;
         (others, SYNC_WAIT_MS)
     };
     if best_outcome == SyncOutcome::Fresh {
@@ -170,7 +158,7 @@
     }
     let mut outcomes: FuturesUnordered<_> = concurrent
         .iter()
-        .map(|peer| sync_with(feed, peer, fresh_ms, wait_ms))
+        .map(|peer| sync_with(feed, peer, wait_ms))
         .collect();
     while let Some(outcome) = outcomes.next().await {
         best_outcome = best_outcome.max(outcome);
@@ -181,38 +169,24 @@
     best_outcome
 }
 
-/// Syncs with one peer, which may wait `wait_ms` for a change, and applies its response. The peer's data is fresh if it
-/// is younger than `fresh_ms`; without any configuration, here or in the response, it counts as stale.
-async fn sync_with(feed: &Feed, peer: &Instance, fresh_ms: u64, wait_ms: u64) -> SyncOutcome {
-    let known_version = (feed.hooks.active_config_version)();
-    let ((last_feed, known_list), list_digest) =
-        feed.state.with(0, |state| (state.last_sync, state.digest));
-    let request = SyncRequest {
-        known_version,
-        feed: last_feed,
-        known_list,
-        wait_ms,
-        own: encode_instance(&feed.current_instance()),
-        list_digest,
-    };
+/// Syncs with one peer, which may wait `wait_ms` for a change, and applies its response.
+async fn sync_with(feed: &Feed, peer: &Instance, wait_ms: u64) -> SyncOutcome {
+    let request = queries::sync_request(feed, wait_ms);
     let timeout_ms = wait_ms + SYNC_MARGIN_MS;
     let sent_ms = feed.now_ms();
-    let Some(response) = (feed.hooks.sync_peer)(peer.clone(), request, timeout_ms).await else {
+    let responding = (feed.hooks.sync_peer)(peer.clone(), request.clone(), timeout_ms);
+    let Some(response) = responding.await else {
         record_no_response(feed, &peer.name);
         return SyncOutcome::NoResponse;
     };
     feed.state
         .with(0, |state| state.sync_backoffs.remove(&peer.name));
-    let knows_config = response.config.is_some() || known_version > 0;
     let as_of_ms = queries::response_as_of_ms(&response, sent_ms);
+    apply::peer_response(feed, &peer.name, &request, &response, as_of_ms);
     let now_ms = feed.now_ms();
-    let is_fresh =
-        knows_config && as_of_ms.is_some_and(|as_of_ms| now_ms.saturating_sub(as_of_ms) < fresh_ms);
-    apply::peer_response(feed, &peer.name, &response, as_of_ms, is_fresh);
-    if is_fresh {
-        SyncOutcome::Fresh
-    } else {
-        SyncOutcome::Stale
+    match as_of_ms {
+        Some(as_of_ms) if now_ms.saturating_sub(as_of_ms) < REFRESH_AGE_MS => SyncOutcome::Fresh,
+        _ => SyncOutcome::Stale,
     }
 }
 
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -22,7 +22,7 @@
 
 /// How long a read of the configuration or the servers waits for a change, in milliseconds. It bounds the time until an
 /// unresponsive platform is noticed, since a change must be active everywhere within two seconds.
-const READ_WAIT_MS: u64 = 400;
+const READ_WAIT_MS: u64 = 500;
 /// How long a read of the instances waits for a change, in milliseconds.
 const INSTANCE_WAIT_MS: u64 = 1_500;
 /// Least time between reads of the configuration, in milliseconds; short, as configurations may follow one another
@@ -52,15 +52,15 @@
     name: &'static str,
     /// How long a read waits for a change, in milliseconds.
     wait_ms: u64,
-    /// Pause after a successful read, in milliseconds.
+    /// Least time from the begin of a successful read to that of the next one, in milliseconds.
     min_interval_ms: u64,
     /// Whether a failure to read it is reported at once to waiting sync requests.
     is_urgent: bool,
-    /// Time since the last read after which the full list is read instead of its changes, in milliseconds; none if its
-    /// changes are always fewer.
-    full_after_ms: Option<u64>,
+    /// Returns whether the full list has to be read instead of the changes since the last read, which was made that many
+    /// milliseconds ago.
+    needs_full: fn(&Feed, u64) -> bool,
     /// Returns the time until the list has to be read although this instance does not follow the platform, in
-    /// milliseconds; none if that is not due before something else changes.
+    /// milliseconds; none if it only has to be read while it does.
     until_refresh_ms: fn(&Feed) -> Option<u64>,
 }
 
@@ -71,11 +71,13 @@
         wait_ms: READ_WAIT_MS,
         min_interval_ms: CONFIG_INTERVAL_MS,
         is_urgent: true,
-        full_after_ms: None,
+        needs_full: |_, _| false,
         until_refresh_ms: queries::until_config_refresh_ms,
     };
-    let apply_update =
-        |update: &ListUpdate<_>, as_of_ms| apply::configuration(&feed, update, as_of_ms);
+    let apply_update = |update: &ListUpdate<_>, as_of_ms| {
+        apply::configuration(&feed, update, as_of_ms);
+        true
+    };
     read_list(&feed, list, &feed.source.configuration, apply_update).await;
 }
 
@@ -86,7 +88,7 @@
         wait_ms: READ_WAIT_MS,
         min_interval_ms: SERVER_INTERVAL_MS,
         is_urgent: true,
-        full_after_ms: Some(HEARTBEAT_MS),
+        needs_full: |feed, since_ms| since_ms > HEARTBEAT_MS || !queries::is_from_platform(feed),
         until_refresh_ms: queries::until_server_refresh_ms,
     };
     let apply_update = |update: &ListUpdate<_>, as_of_ms| apply::servers(&feed, update, as_of_ms);
@@ -100,10 +102,13 @@
         wait_ms: INSTANCE_WAIT_MS,
         min_interval_ms: INSTANCE_INTERVAL_MS,
         is_urgent: false,
-        full_after_ms: None,
+        needs_full: |_, _| false,
         until_refresh_ms: |_| None,
     };
-    let apply_update = |update: &ListUpdate<_>, _| apply::instances(&feed, update);
+    let apply_update = |update: &ListUpdate<_>, _| {
+        apply::instances(&feed, update);
+        true
+    };
     read_list(&feed, list, &feed.source.instances, apply_update).await;
 }
 
@@ -135,7 +140,7 @@
     read: &ReadList<Value>,
     apply_update: Apply,
 ) where
-    Apply: Fn(&ListUpdate<Value>, u64),
+    Apply: Fn(&ListUpdate<Value>, u64) -> bool,
 {
     let mut is_reader = feed.reads_platform.subscribe();
     let mut progress = Progress::default();
@@ -173,17 +178,22 @@
         if until_refresh_ms == Some(0) {
             return Some(Purpose::Refresh);
         }
-        let until_ms = until_refresh_ms.map_or(CHECK_INTERVAL_MS, |until_ms| {
-            until_ms.max(CHECK_INTERVAL_MS)
-        });
         let following = is_reader.wait_for(|is_reader| *is_reader);
-        if let Ok(Err(_)) = timeout(Duration::from_millis(until_ms), following).await {
+        let followed = match until_refresh_ms {
+            Some(until_ms) => {
+                let until_ms = until_ms.max(CHECK_INTERVAL_MS);
+                timeout(Duration::from_millis(until_ms), following).await
+            }
+            None => Ok(following.await),
+        };
+        if let Ok(Err(_)) = followed {
             return None;
         }
     }
 }
 
-/// Reads the changes, or the full list, and applies them; returns the pause until the next read, in milliseconds.
+/// Reads the changes, or the full list, and applies them, for which `apply_update` returns false if the full list has to be
+/// read instead; returns the pause until the next read, in milliseconds.
 async fn read_once<Value, Apply>(
     feed: &Feed,
     list: ListOptions,
@@ -193,14 +203,12 @@
     apply_update: &Apply,
 ) -> u64
 where
-    Apply: Fn(&ListUpdate<Value>, u64),
+    Apply: Fn(&ListUpdate<Value>, u64) -> bool,
 {
     let sent_ms = feed.now_ms();
-    let is_far_behind = list
-        .full_after_ms
-        .is_some_and(|after_ms| sent_ms.saturating_sub(progress.read_ms) > after_ms);
+    let needs_full = (list.needs_full)(feed, sent_ms.saturating_sub(progress.read_ms));
     let cursor = Cursor {
-        from: progress.from.filter(|_| !is_far_behind),
+        from: progress.from.filter(|_| !needs_full),
         wait_ms: if purpose == Purpose::Follow {
             list.wait_ms
         } else {
@@ -218,9 +226,14 @@
                 read_ms: now_ms,
                 failures: 0,
             };
-            apply_update(&update, as_of_ms(&cursor, &update, sent_ms, now_ms));
+            let is_applied = apply_update(&update, as_of_ms(&cursor, &update, sent_ms, now_ms));
             set_list_failing(feed, list, false);
-            list.min_interval_ms
+            if is_applied {
+                list.min_interval_ms.saturating_sub(now_ms - sent_ms)
+            } else {
+                progress.from = None;
+                CHECK_INTERVAL_MS
+            }
         }
         // The changes are no longer kept, so the full list is read next.
         Err(ReadError::Trimmed { .. }) if cursor.from.is_some() => {
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -5,25 +5,29 @@
 pub use self::age::{has_server_list, source_age_ms};
 
 pub(crate) use self::age::{
-    as_of_ms, data_age_ms, response_as_of_ms, until_config_refresh_ms, until_server_refresh_ms,
-    REFRESH_AGE_MS, STALE_AFTER_MS, STARTUP_SYNC_MS,
+    as_of_ms, has_fresh_data, response_as_of_ms, until_config_refresh_ms, until_server_refresh_ms,
+    REFRESH_AGE_MS, STALE_AFTER_MS, STARTUP_SYNC_MS, UNKNOWN_AGE_MS,
 };
 
 use {
     self::age::{current_as_of_ms, is_failing, is_initialized},
-    crate::Feed,
-    member::queries as roster_queries,
+    crate::{
+        state::{FeedState, ListBase},
+        Feed,
+    },
+    member::{queries as roster_queries, Delta},
     std::time::Duration,
     tokio::time::timeout,
     wire::{
-        convert,
+        convert::{self, encode_instance},
         generated::{SyncRequest, SyncResponse},
     },
 };
 
-/// By how much the data must have been refreshed since a sync request arrived for the response to be sent at once, in
-/// milliseconds. The refreshed age then passes from instance to instance without adding up their waits.
-const REFRESH_STEP_MS: u64 = 300;
+/// By how much this instance's data must be newer than the requester's for the response to a sync request to be sent at
+/// once, in milliseconds. The refreshed age then passes from instance to instance without adding up their waits.
+const REFRESH_STEP_MS: u64 = 500;
+
 /// Waits until a configuration and a full list of servers were received, for `timeout_ms` at most.
 pub async fn wait_until_initialized(feed: &Feed, timeout_ms: u64) {
     let mut changed = feed.changed.subscribe();
@@ -32,28 +36,60 @@
     let _ = timeout(Duration::from_millis(timeout_ms), wait).await;
 }
 
-/// Returns the changes for another instance's sync request, as soon as there are any or the request's wait has passed.
+/// Returns whether the list of servers was made from what this instance read from the platform.
+pub(crate) fn is_from_platform(feed: &Feed) -> bool {
+    feed.state.with(0, |state| state.base == ListBase::Platform)
+}
+
+/// Returns a request for what another instance has newer than this one; the other may wait `wait_ms` for a change.
+pub(crate) fn sync_request(feed: &Feed, wait_ms: u64) -> SyncRequest {
+    let now_ms = feed.now_ms();
+    let own = encode_instance(&feed.current_instance());
+    let known_version = (feed.hooks.active_config_version)();
+    feed.state.with(0, |state| {
+        let (from_feed, known_list) = match state.base {
+            ListBase::Peer { feed, version } => (feed, version),
+            ListBase::Empty | ListBase::Platform => (0, 0),
+        };
+        let as_of_ms = state.servers_as_of_ms;
+        SyncRequest {
+            known_version,
+            feed: from_feed,
+            known_list,
+            wait_ms,
+            own,
+            list_digest: state.digest,
+            server_digest: state.server_digest,
+            known_age_ms: as_of_ms.map_or(UNKNOWN_AGE_MS, |at_ms| now_ms.saturating_sub(at_ms)),
+        }
+    })
+}
+
+/// Returns the changes for another instance's sync request, as soon as there are any or the request's wait has passed. A
+/// requester whose list is as new as this one gets no list, which version 0 stands for, but the instances that changed.
 pub async fn sync_response(feed: &Feed, request: &SyncRequest) -> SyncResponse {
     let received_ms = feed.now_ms();
     let mut changed = feed.changed.subscribe();
-    let requester_version = requester_version(feed, request);
-    let as_of_ms = feed.state.with(0, |state| current_as_of_ms(state));
-    let wait = async {
-        while !has_changes(feed, request.known_version, requester_version)
-            && !is_refreshed(feed, as_of_ms)
-        {
-            if changed.changed().await.is_err() {
-                return;
-            }
-        }
-    };
-    // Without changes, the response still reports the age of the data.
+    let requester = Requester::new(feed, request);
+    let wait = async { while !has_news(feed, &requester) && changed.changed().await.is_ok() {} };
+    // Without news, the response still reports the age of the data.
     let _ = timeout(Duration::from_millis(request.wait_ms), wait).await;
     let now_ms = feed.now_ms();
     // Taken before the contents, which may be refreshed at any time.
     let source_age_ms = source_age_ms(feed);
     let delta = feed.state.with(0, |state| {
-        roster_queries::delta(&state.roster, requester_version, now_ms)
+        if current_as_of_ms(state) <= Some(requester.as_of_ms) {
+            return instance_delta(state, request, &requester);
+        }
+        // One that has received every change and yet has other servers needs the full list.
+        let is_different = requester.list_version == roster_queries::list_version(&state.roster)
+            && request.server_digest != state.server_digest;
+        let since = if is_different {
+            0
+        } else {
+            requester.list_version
+        };
+        roster_queries::delta(&state.roster, since, now_ms)
     });
     SyncResponse {
         config: (feed.hooks.newer_config)(request.known_version),
@@ -62,39 +98,66 @@
     }
 }
 
-/// Returns the version of this feed's list that the requester has: the one it received from here, or the current one if
-/// its list has the same digest; otherwise 0.
-fn requester_version(feed: &Feed, request: &SyncRequest) -> u64 {
-    if request.feed == feed.id {
-        return request.known_list;
+/// Returns the changes of the instances for a requester whose list of servers is as new as this one.
+fn instance_delta(state: &FeedState, request: &SyncRequest, requester: &Requester) -> Delta {
+    let instance_digest = state.digest ^ state.server_digest;
+    if request.list_digest ^ request.server_digest == instance_digest {
+        return Delta::default();
     }
-    feed.state.with(0, |state| {
-        if request.list_digest == state.digest {
-            roster_queries::list_version(&state.roster)
-        } else {
-            0
+    let delta = roster_queries::delta(&state.roster, requester.list_version, 0);
+    Delta {
+        instances: delta.instances,
+        gone_instances: delta.gone_instances,
+        ..Delta::default()
+    }
+}
+
+/// What the instance that sent a sync request has.
+struct Requester {
+    /// Version of its configuration.
+    config_version: u64,
+    /// Version of this feed's list that it has; 0 if it has another list.
+    list_version: u64,
+    /// Latest time as of which its list may be current, in milliseconds of this feed's clock.
+    as_of_ms: u64,
+}
+
+impl Requester {
+    /// Determines what the requester has. It has the current list if its list has the same digest.
+    fn new(feed: &Feed, request: &SyncRequest) -> Self {
+        let now_ms = feed.now_ms();
+        let list_version = feed.state.with(0, |state| {
+            if request.feed == feed.id {
+                request.known_list
+            } else if request.list_digest == state.digest {
+                roster_queries::list_version(&state.roster)
+            } else {
+                0
+            }
+        });
+        Self {
+            config_version: request.known_version,
+            list_version,
+            as_of_ms: now_ms.saturating_sub(request.known_age_ms),
         }
-    })
+    }
 }
 
-fn has_changes(feed: &Feed, known_version: u64, requester_version: u64) -> bool {
-    if known_version == 0 && !is_initialized(feed) {
+/// Returns whether a sync request should be answered now: with a newer configuration, with changes of the list or data that
+/// was refreshed since, or with the report that this instance fails to read the platform. A requester whose list is as
+/// new as this one waits, since it could not use this one.
+fn has_news(feed: &Feed, requester: &Requester) -> bool {
+    if requester.config_version == 0 && !is_initialized(feed) {
         // Both instances have just started. An incomplete response would make the requester turn to another instance,
         // although the rest arrives soon.
         return feed.state.with(0, |state| !state.failing_lists.is_empty());
     }
     let now_ms = feed.now_ms();
-    let is_changed = feed.state.with(0, |state| {
-        is_failing(state, now_ms)
-            || roster_queries::list_version(&state.roster) != requester_version
+    let has_news = feed.state.with(0, |state| {
+        let as_of_ms = current_as_of_ms(state).unwrap_or(0);
+        let has_changes = roster_queries::list_version(&state.roster) != requester.list_version;
+        let is_refreshed = as_of_ms >= requester.as_of_ms + REFRESH_STEP_MS;
+        is_failing(state, now_ms) || is_refreshed || (has_changes && as_of_ms > requester.as_of_ms)
     });
-    is_changed || (feed.hooks.active_config_version)() > known_version
-}
-
-/// Returns whether the data was refreshed by [`REFRESH_STEP_MS`] since it was current as of `since_ms`.
-fn is_refreshed(feed: &Feed, since_ms: Option<u64>) -> bool {
-    let as_of_ms = feed.state.with(0, |state| current_as_of_ms(state));
-    since_ms
-        .zip(as_of_ms)
-        .is_some_and(|(since_ms, as_of_ms)| as_of_ms >= since_ms + REFRESH_STEP_MS)
+    has_news || (feed.hooks.active_config_version)() > requester.config_version
 }
--- a/crates/feed/src/queries/age.rs
+++ b/crates/feed/src/queries/age.rs
@@ -13,10 +13,12 @@
 pub(crate) const STALE_AFTER_MS: u64 = 2_500;
 /// Age from which an instance reads the platform itself, in milliseconds. It is above the age that data reaches between
 /// two syncs, and leaves time for a read and its repetition until a change must be active everywhere.
-pub(crate) const REFRESH_AGE_MS: u64 = 1_100;
+pub(crate) const REFRESH_AGE_MS: u64 = 1_300;
 /// Time after the start at which an instance without data reads the platform itself, in milliseconds. If all instances
 /// start together, the first in order must read before it can respond.
 pub(crate) const STARTUP_SYNC_MS: u64 = 700;
+/// Time after which it is checked again whether the configuration was refreshed, in milliseconds.
+const CONFIG_FIRST_MS: u64 = 50;
 /// Age of data from which a failure to read the platform is reported, in milliseconds; other instances may have
 /// refreshed the data since the failure.
 const FAILING_AGE_MS: u64 = 600;
@@ -64,28 +66,37 @@
 /// Returns the time until this instance has to read the configuration itself, in milliseconds.
 pub(crate) fn until_config_refresh_ms(feed: &Feed) -> Option<u64> {
     let as_of_ms = feed.state.with(0, |state| state.config_as_of_ms);
-    Some(until_refresh_ms(as_of_ms, feed.now_ms()))
+    Some(until_refresh_ms(feed, as_of_ms))
 }
 
-/// Returns the time until this instance has to read the list of servers itself, in milliseconds; none while it can't
-/// even refresh the configuration, so that an outage of the platform costs one call at a time.
+/// Returns the time until this instance has to read the list of servers itself, in milliseconds; not before it could
+/// refresh the configuration, so that an outage of the platform costs one call at a time.
 pub(crate) fn until_server_refresh_ms(feed: &Feed) -> Option<u64> {
-    let now_ms = feed.now_ms();
     let (config_ms, servers_ms) = feed
         .state
         .with(0, |state| (state.config_as_of_ms, state.servers_as_of_ms));
-    let is_config_due = until_refresh_ms(config_ms, now_ms) == 0;
-    (!is_config_due).then(|| until_refresh_ms(servers_ms, now_ms))
+    Some(if until_refresh_ms(feed, config_ms) == 0 {
+        CONFIG_FIRST_MS
+    } else {
+        until_refresh_ms(feed, servers_ms)
+    })
+}
+
+fn until_refresh_ms(feed: &Feed, as_of_ms: Option<u64>) -> u64 {
+    match as_of_ms {
+        Some(as_of_ms) => (as_of_ms + REFRESH_AGE_MS).saturating_sub(feed.now_ms()),
+        None => STARTUP_SYNC_MS.saturating_sub(feed.uptime_ms()),
+    }
 }
 
-fn until_refresh_ms(as_of_ms: Option<u64>, now_ms: u64) -> u64 {
-    let due_ms = as_of_ms.map_or(STARTUP_SYNC_MS, |as_of_ms| as_of_ms + REFRESH_AGE_MS);
-    due_ms.saturating_sub(now_ms)
+/// Returns whether this instance has a configuration, and data that it need not refresh.
+pub(crate) fn has_fresh_data(feed: &Feed) -> bool {
+    data_age_ms(feed) < REFRESH_AGE_MS && (feed.hooks.active_config_version)() > 0
 }
 
 /// Returns the age of the older of server list and configuration, in milliseconds: the time since the platform was
 /// read, here or by another instance.
-pub(crate) fn data_age_ms(feed: &Feed) -> u64 {
+fn data_age_ms(feed: &Feed) -> u64 {
     let now_ms = feed.now_ms();
     feed.state.with(0, |state| age_ms(state, now_ms))
 }
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of a feed, and the callbacks through which it uses the node.
 
 use {
+    crate::queries::UNKNOWN_AGE_MS,
     futures_util::future::BoxFuture,
     member::{Instance, Presence, Roster, View},
     std::{
@@ -44,6 +45,26 @@
     pub publish_view: Box<dyn Fn(Arc<View>) + Send + Sync>,
 }
 
+/// What the list of servers was made from.
+///
+/// Changes apply only to the list that they were made for. Changes of several sources, applied in the order of their
+/// arrival, could restore a server that is gone or drop one that has returned.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum ListBase {
+    /// There is no list yet.
+    #[default]
+    Empty,
+    /// The platform's list and changes.
+    Platform,
+    /// Another instance's list.
+    Peer {
+        /// Id of that instance's feed.
+        feed: u64,
+        /// Version of its list.
+        version: u64,
+    },
+}
+
 /// The mutable state of a feed.
 #[derive(Debug, Default)]
 pub(crate) struct FeedState {
@@ -52,6 +73,12 @@
     pub(crate) view: Arc<View>,
     /// Digest of the roster; recomputed with each change.
     pub(crate) digest: u64,
+    /// Digest of the roster's servers; recomputed with each change.
+    pub(crate) server_digest: u64,
+    /// What the list of servers was made from.
+    pub(crate) base: ListBase,
+    /// Time at which another instance's list was last applied, in milliseconds of the feed's clock; 0 before the first.
+    pub(crate) peer_list_ms: u64,
     /// For each peer that did not respond: its consecutive failures, and the end of its sync backoff in milliseconds.
     pub(crate) sync_backoffs: HashMap<String, (u32, u64)>,
     /// Time at which the server list was current, in milliseconds of the feed's clock; none before the first full list.
@@ -62,8 +89,6 @@
     pub(crate) failing_lists: HashSet<&'static str>,
     /// Earliest time at which this instance may stop reading the platform, in milliseconds of the feed's clock.
     pub(crate) read_until_ms: u64,
-    /// Feed id and list version of the last applied sync response.
-    pub(crate) last_sync: (u64, u64),
 }
 
 /// Keeps an instance's configuration, server list and instance list up to date.
@@ -119,7 +144,13 @@
     }
 
     /// Returns the time since the feed was created, in milliseconds.
-    pub(crate) fn now_ms(&self) -> u64 {
+    pub(crate) fn uptime_ms(&self) -> u64 {
         (self.hooks.now_ms)().saturating_sub(self.created_ms)
     }
+
+    /// Returns the time of the feed's clock, in milliseconds. It starts late enough for the times of data that is older
+    /// than the feed.
+    pub(crate) fn now_ms(&self) -> u64 {
+        UNKNOWN_AGE_MS + self.uptime_ms()
+    }
 }
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -269,6 +269,8 @@
         feed,
         known_list,
         list_digest: 0,
+        server_digest: 0,
+        known_age_ms: 0,
         wait_ms: 2_000,
         own: encode_instance(&instance("i2")),
     }
@@ -286,6 +288,8 @@
         wait_ms: 2_000,
         own: encode_instance(&instance("a2")),
         list_digest: 0,
+        server_digest: 0,
+        known_age_ms: 0,
     };
     record_requester(&feed, &request.own);
     let started = Instant::now();
--- a/crates/feed/tests/propagation.rs
+++ b/crates/feed/tests/propagation.rs
@@ -82,8 +82,8 @@
     }
 }
 
-/// Returns the changes of a run: with each version of the configuration one server begins
-/// to leave.
+/// Returns the changes of a run: with each version of the configuration one server leaves, is removed, or is removed and
+/// returns at once.
 fn changes() -> Vec<StoreChange> {
     let times_ms = [
         600, 1_400, 2_300, 3_100, 4_000, 4_900, 5_700, 6_600, 7_500, 8_300, 9_200,
@@ -92,7 +92,14 @@
     for (server, at_ms) in times_ms.into_iter().enumerate() {
         let mut add = |at_ms, server| changes.push(StoreChange { at_ms, server });
         add(at_ms, None);
-        add(at_ms, Some((server, ServerState::Leaving)));
+        match server % 3 {
+            0 => add(at_ms, Some((server, ServerState::Leaving))),
+            1 => add(at_ms, Some((server, ServerState::Gone))),
+            _ => {
+                add(at_ms, Some((server, ServerState::Gone)));
+                add(at_ms + 40, Some((server, ServerState::Live)));
+            }
+        }
     }
     changes
 }
@@ -104,7 +111,7 @@
         faults: faults.to_vec(),
         changes: changes(),
         bound_ms: BOUND_MS,
-        has_start_times: true,
+        has_start_times: !seed.is_multiple_of(4),
     }
 }
 
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -25,9 +25,27 @@
 /// known.
 pub fn apply_server_report(roster: &mut Roster, server: &BackendServer, as_of_ms: u64) -> bool {
     let report_version = report_version_of(server);
-    if is_stale(roster, &server.name, true, report_version, as_of_ms) {
-        return false;
+    !is_stale(roster, &server.name, true, report_version, as_of_ms)
+        && replace_report(roster, server, as_of_ms)
+}
+
+/// Applies the entry of a server in another instance's list that was current at `as_of_ms`.
+///
+/// The other instance may have missed the server's last reports, which changed nothing, as well as its removal and return.
+/// So a list that is newer than the removal counts even if its report is older.
+fn apply_listed_server(roster: &mut Roster, server: &BackendServer, as_of_ms: u64) -> bool {
+    let tombstone = last_tombstone(roster, &server.name, true);
+    let is_newer = tombstone.is_some_and(|tombstone| as_of_ms > tombstone.as_of_ms);
+    if is_newer {
+        replace_report(roster, server, as_of_ms)
+    } else {
+        apply_server_report(roster, server, as_of_ms)
     }
+}
+
+/// Replaces the known report of a server unless it is newer.
+fn replace_report(roster: &mut Roster, server: &BackendServer, as_of_ms: u64) -> bool {
+    let report_version = report_version_of(server);
     if let Some(entry) = roster.servers.get_mut(&server.name) {
         if report_version.is_older(entry.report_version) {
             return false;
@@ -163,7 +181,7 @@
 pub fn apply_delta(roster: &mut Roster, delta: &Delta, own_name: &str, as_of_ms: u64) -> bool {
     let mut changed = false;
     for server in &delta.servers {
-        changed |= apply_server_report(roster, server, as_of_ms);
+        changed |= apply_listed_server(roster, server, as_of_ms);
     }
     for instance in delta
         .instances
@@ -238,16 +256,18 @@
     report_version: ReportVersion,
     as_of_ms: u64,
 ) -> bool {
-    let mut tombstones = roster.tombstones.iter().rev();
-    let last =
-        tombstones.find(|tombstone| tombstone.is_server == is_server && tombstone.name == name);
-    last.is_some_and(|tombstone| {
+    last_tombstone(roster, name, is_server).is_some_and(|tombstone| {
         report_version.is_older(tombstone.report_version)
             || (as_of_ms < tombstone.as_of_ms
                 && report_version.started_at_ms <= tombstone.report_version.started_at_ms)
     })
 }
 
+fn last_tombstone<'a>(roster: &'a Roster, name: &str, is_server: bool) -> Option<&'a Tombstone> {
+    let mut tombstones = roster.tombstones.iter().rev();
+    tombstones.find(|tombstone| tombstone.is_server == is_server && tombstone.name == name)
+}
+
 /// Returns whether two reports differ only in sequence number or in how long the warm-up still lasts. Other instances
 /// need not learn of either, only of the end of the warm-up.
 fn differs_only_in_counters(known: &BackendServer, new: &BackendServer) -> bool {
--- a/crates/member/src/queries.rs
+++ b/crates/member/src/queries.rs
@@ -4,7 +4,9 @@
 mod view;
 
 pub use self::{
-    roster::{delta, digest, is_grace_over, list_version, view},
+    roster::{
+        delta, digest, have_records_lapsed, is_grace_over, list_version, server_digest, view,
+    },
     view::{
         find_instance, is_in_backoff, is_sync_source, live_instances, owner_order, pool_areas,
         pool_servers, sync_sources, task_order, task_owner,
--- a/crates/member/src/queries/roster.rs
+++ b/crates/member/src/queries/roster.rs
@@ -1,11 +1,14 @@
 //! Queries over the roster.
 
 use {
-    crate::{roster::Entry, Delta, Roster, View},
-    std::collections::HashMap,
+    crate::{roster::Entry, BackendServer, Delta, Roster, View},
+    std::collections::{BTreeMap, HashMap, HashSet},
     types::shard_hash,
 };
 
+/// Part of the servers, one in this many, whose absence is a sign that records have lapsed.
+const LAPSED_ONE_IN: usize = 4;
+
 /// Returns the version of the roster; 0 before its first change.
 pub fn list_version(roster: &Roster) -> u64 {
     roster.version
@@ -16,15 +19,33 @@
     now_ms >= roster.grace_until_ms
 }
 
+/// Returns whether so many servers are missing from a full list that their records have lapsed, most likely, and the
+/// servers are not gone: a quarter of all, or every server of a service.
+pub fn have_records_lapsed<'a, Reports>(roster: &Roster, reports: Reports) -> bool
+where
+    Reports: Iterator<Item = &'a BackendServer>,
+{
+    let listed: HashSet<&str> = reports.map(|report| report.name.as_str()).collect();
+    let is_missing = |name: &str| !listed.contains(name);
+    let missing = roster.servers.keys().filter(|name| is_missing(name));
+    let mut has_listed: HashMap<&str, bool> = HashMap::new();
+    for (name, entry) in &roster.servers {
+        *has_listed.entry(&entry.value.service).or_default() |= !is_missing(name);
+    }
+    missing.count() * LAPSED_ONE_IN >= roster.servers.len().max(1)
+        || has_listed.values().any(|has_listed| !has_listed)
+}
+
 /// Returns the changes since version `since`; the full contents if `since` is 0, older than the tombstones kept, or
-/// newer than the roster.
+/// newer than the roster. Servers that are no longer listed but kept for a while are left out: other instances must not
+/// take them for listed.
 pub fn delta(roster: &Roster, since: u64, now_ms: u64) -> Delta {
     let is_full = since == 0 || since < roster.compacted_version || since > roster.version;
     let after = if is_full { 0 } else { since };
     let servers = roster
         .servers
         .values()
-        .filter(|entry| entry.changed_version > after);
+        .filter(|entry| entry.changed_version > after && entry.expires_at_ms.is_none());
     let instances = roster
         .instances
         .values()
@@ -55,6 +76,21 @@
 /// Returns a digest of the roster's contents that is equal in all processes with equal contents. Sequence numbers
 /// and the length of the remaining warm-up are left out, since they change with every report.
 pub fn digest(roster: &Roster) -> u64 {
+    let instances = roster.instances.values().map(|entry| {
+        let instance = &entry.value;
+        let location = (&instance.name, &instance.data_centre, &instance.region);
+        let attributes = (
+            instance.rpc_address,
+            instance.presence,
+            instance.incarnation,
+        );
+        shard_hash(&(location, attributes, instance.capacity_permille))
+    });
+    combined(server_digest(roster), instances)
+}
+
+/// Returns a digest of the roster's servers, as [`digest`] does for its whole contents.
+pub fn server_digest(roster: &Roster) -> u64 {
     let servers = roster.servers.values().map(|entry| {
         let server = &entry.value;
         let location = (
@@ -71,35 +107,29 @@
         );
         shard_hash(&(location, attributes, server.warmup_left_ms == 0))
     });
-    let instances = roster.instances.values().map(|entry| {
-        let instance = &entry.value;
-        let location = (&instance.name, &instance.data_centre, &instance.region);
-        let attributes = (
-            instance.rpc_address,
-            instance.presence,
-            instance.incarnation,
-        );
-        shard_hash(&(location, attributes, instance.capacity_permille))
-    });
-    // Independent of the order of entries; an empty roster differs from 0, which stands for no list.
-    servers
-        .chain(instances)
-        .fold(1, |digest, hash| digest ^ hash)
+    // An empty roster differs from 0, which stands for no list.
+    combined(1, servers)
+}
+
+/// Combines hashes independently of their order.
+fn combined<Hashes>(first: u64, hashes: Hashes) -> u64
+where
+    Hashes: Iterator<Item = u64>,
+{
+    hashes.fold(first, |digest, hash| digest ^ hash)
 }
 
 /// Returns a view of the roster; entries are sorted by name, so that all instances see the same order.
 pub fn view(roster: &Roster) -> View {
-    let instances = in_order(&roster.instances);
-    View::new(roster.version, instances, in_order(&roster.servers))
+    let instances = values(&roster.instances);
+    View::new(roster.version, instances, values(&roster.servers))
 }
 
-fn in_order<Value>(entries: &HashMap<String, Entry<Value>>) -> Vec<Value>
+fn values<Value>(entries: &BTreeMap<String, Entry<Value>>) -> Vec<Value>
 where
     Value: Clone,
 {
-    let mut entries: Vec<_> = entries.iter().collect();
-    entries.sort_by_key(|&(name, _)| name);
-    let values = entries.into_iter().map(|(_, entry)| entry.value.clone());
+    let values = entries.values().map(|entry| entry.value.clone());
     values.collect()
 }
 
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::{BackendServer, Instance},
-    std::collections::{HashMap, VecDeque},
+    std::collections::{BTreeMap, VecDeque},
 };
 
 /// Orders the reports of one server or instance: by the start of its process, then by sequence number.
@@ -57,8 +57,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     pub(crate) version: u64,
-    pub(crate) servers: HashMap<String, Entry<BackendServer>>,
-    pub(crate) instances: HashMap<String, Entry<Instance>>,
+    pub(crate) servers: BTreeMap<String, Entry<BackendServer>>,
+    pub(crate) instances: BTreeMap<String, Entry<Instance>>,
     /// Tombstones of removed servers and instances, newest last; bounded.
     pub(crate) tombstones: VecDeque<Tombstone>,
     /// Version up to which tombstones were discarded; a delta from an earlier version must be the full list.
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -6,7 +6,7 @@
             apply_delta, apply_server_report, expire_servers, remove_server, retain_servers,
             start_grace_period,
         },
-        queries::{delta, list_version, pool_servers, view},
+        queries::{delta, have_records_lapsed, list_version, pool_servers, view},
         BackendServer, Presence, Roster,
     },
     quickcheck::quickcheck,
@@ -129,6 +129,61 @@
     assert_eq!(live_server_names(&roster), ["back"]);
 }
 
+/// After a cut of its own, an instance kept sending requests to a server that had left meanwhile.
+#[test]
+fn have_records_lapsed_by_share() {
+    let names = ["a", "b", "c", "d", "e"];
+    let listed = |count: usize| {
+        let reports = names[..count].iter().map(|name| report(name, 100, 2));
+        reports.collect::<Vec<_>>()
+    };
+    let mut roster = Roster::new();
+    for name in names {
+        apply_server_report(&mut roster, &report(name, 100, 1), 0);
+    }
+    assert!(!have_records_lapsed(&roster, listed(5).iter()));
+    assert!(!have_records_lapsed(&roster, listed(4).iter()));
+    assert!(have_records_lapsed(&roster, listed(3).iter()));
+    let other = BackendServer {
+        service: "other".to_owned(),
+        ..report("x", 100, 1)
+    };
+    apply_server_report(&mut roster, &other, 0);
+    assert!(have_records_lapsed(&roster, listed(5).iter()));
+}
+
+/// A server that was removed and returned at once stayed away for as long as the source had not noticed either.
+#[test]
+fn apply_delta_list_newer_than_removal() {
+    let (mut source, mut reader) = (Roster::new(), Roster::new());
+    apply_server_report(&mut source, &report("x", 100, 1), 0);
+    apply_server_report(&mut reader, &report("x", 100, 8), 1_000);
+    remove_server(&mut reader, "x", 1_500);
+    let list = delta(&source, 0, 0);
+    apply_delta(&mut reader, &list, "own", 1_500);
+    assert_eq!(live_server_names(&reader), Vec::<String>::new());
+    apply_delta(&mut reader, &list, "own", 1_600);
+    assert_eq!(live_server_names(&reader), ["x"]);
+}
+
+/// An instance that kept a missing server for the grace period told others that it was listed.
+#[test]
+fn delta_during_grace_period() {
+    let (mut sender, mut receiver) = (Roster::new(), Roster::new());
+    for name in ["kept", "missing"] {
+        apply_server_report(&mut sender, &report(name, 100, 1), 0);
+    }
+    start_grace_period(&mut sender, 5_000);
+    assert!(!retain_servers(
+        &mut sender,
+        5_000,
+        [report("kept", 100, 4)].iter()
+    ));
+    sync(&mut receiver, &sender, 0, 5_100);
+    assert_eq!(live_server_names(&sender), ["kept", "missing"]);
+    assert_eq!(live_server_names(&receiver), ["kept"]);
+}
+
 #[test]
 fn apply_delta_full_list_during_grace_period() {
     let (mut receiver, mut sender) = (Roster::new(), Roster::new());
