Answer 503 instead of 404 while the configuration may be out of date

Cause: an instance that can't read its configuration does not know whether a route exists, but answered as if it did. Change: while its configuration is older than 1.8 s, the age within which an instance that reaches the platform has read it again, an instance answers a request without a route with the new code 1207 (503, not run, with Retry-After). Requests that match a route are handled as before.

Test: handle_request_no_route_old_configuration, which does not compile before the change; 404 was returned in both cases.

--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -200,6 +200,7 @@
                 };
                 let routing = RoutingConfig {
                     version: active.accepted.version,
+                    is_current: queries::is_config_current(&node),
                     document: &active.accepted.document,
                     index: &active.index,
                 };
--- a/crates/daemon/src/queries/config.rs
+++ b/crates/daemon/src/queries/config.rs
@@ -27,6 +27,14 @@
     })
 }
 
+/// Returns whether the active configuration is not so old that a newer one must be active elsewhere. On a platform with a
+/// log that is not known, so it counts as current.
+pub(crate) fn is_config_current(node: &Node) -> bool {
+    node.feed
+        .get()
+        .is_none_or(|feed| feed::queries::is_config_current(feed))
+}
+
 /// Returns the configuration and the open proposals for operators.
 pub(crate) fn config_view(node: &Node) -> ConfigView {
     node.config.with(0, |state| {
--- a/crates/entry/src/queries/classify.rs
+++ b/crates/entry/src/queries/classify.rs
@@ -43,7 +43,11 @@
     let method = incoming.head.method.as_str();
     let host = host(&incoming.head);
     let route = queries::find_route(document, index, &host, method, path);
-    let route = route.ok_or(ResultCode::NoRoute)?;
+    let route = route.ok_or(if config.is_current {
+        ResultCode::NoRoute
+    } else {
+        ResultCode::OldConfiguration
+    })?;
     let destination =
         queries::pick_destination(route, shard_hash(&request_id)).ok_or(ResultCode::NoRoute)?;
     let service =
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -41,6 +41,8 @@
 pub struct RoutingConfig<'a> {
     /// Version of the document.
     pub version: u64,
+    /// Whether this is the version in force; otherwise a newer one may have been published.
+    pub is_current: bool,
     /// The document.
     pub document: &'a Document,
     /// Index over the document.
--- a/crates/entry/tests/handle_request.rs
+++ b/crates/entry/tests/handle_request.rs
@@ -139,6 +139,7 @@
     let document = document();
     let config = RoutingConfig {
         version: 1,
+        is_current: true,
         document: &document,
         index: &DocumentIndex::new(&document),
     };
@@ -156,6 +157,29 @@
     listener.local_addr().expect("an address")
 }
 
+/// An instance that could not read its configuration answered 404 for a route that had been added.
+#[tokio::test]
+async fn handle_request_no_route_old_configuration() {
+    let fixture = fixture(&[unused_address().await]);
+    let document = Document::default();
+    for (is_current, code) in [
+        (true, ResultCode::NoRoute),
+        (false, ResultCode::OldConfiguration),
+    ] {
+        let config = RoutingConfig {
+            version: 1,
+            is_current,
+            document: &document,
+            index: &DocumentIndex::new(&document),
+        };
+        let request = incoming(Method::GET, &[], "");
+        let response = handle_request(&fixture.proxy, config, request).await;
+        assert_eq!(response.code(), code);
+    }
+    let refusal = CallerResponse::generated(ResultCode::OldConfiguration).into_response();
+    assert!(refusal.headers().contains_key("retry-after"));
+}
+
 #[tokio::test]
 async fn handle_request_unkeyed_truncated() {
     let (truncating, healthy) = (
--- a/crates/feed/src/queries/age.rs
+++ b/crates/feed/src/queries/age.rs
@@ -17,6 +17,9 @@
 /// Time after the start at which an instance without data reads the platform itself, in milliseconds. If all instances
 /// start together, the first in order must read before it can respond.
 pub(crate) const STARTUP_SYNC_MS: u64 = 700;
+/// Age up to which the configuration counts as current, in milliseconds: within it an instance that reaches the platform
+/// has read it again.
+const CONFIG_CURRENT_MS: u64 = 1_800;
 /// Time after which it is checked again whether the configuration was refreshed, in milliseconds.
 const CONFIG_FIRST_MS: u64 = 50;
 /// Age of data from which a failure to read the platform is reported, in milliseconds; other instances may have
@@ -89,6 +92,12 @@
     }
 }
 
+/// Returns whether the configuration is young enough that every newer one can still be on its way.
+pub fn is_config_current(feed: &Feed) -> bool {
+    let as_of_ms = feed.state.with(0, |state| state.config_as_of_ms);
+    as_of_ms.is_some_and(|as_of_ms| feed.now_ms() < as_of_ms + CONFIG_CURRENT_MS)
+}
+
 /// Returns whether this instance has a configuration, and data that it need not refresh.
 pub(crate) fn has_fresh_data(feed: &Feed) -> bool {
     data_age_ms(feed) < REFRESH_AGE_MS && (feed.hooks.active_config_version)() > 0
