Believe a refusal only if it echoes the request's id

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told `not run, try again` for requests that it had run or was running (REFUSED), or such a request ran at a second server (TWICE). It could happen here, on a new connection too.

Cause: an answer with the header that says so, or with status 421, counted as not run before its id was looked at. Change: without the request's own id such an answer proves nothing; the outcome is unknown.

Tests: handle_request_earlier_refusal_again (503 and 421: told not run, and run by a second server) and handle_request_earlier_refusal_kept_connection fail without the change.

--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -126,13 +126,17 @@
         response_us: 0,
         draining,
     };
-    if conventions.target_server.is_some() && response.status() == StatusCode::MISDIRECTED_REQUEST {
-        permit.release(report(AttemptOutcome::Misdirected));
-        return ExchangeOutcome::Misdirected;
-    }
-    if response.headers().contains_key(&conventions.not_run) {
-        permit.release(report(AttemptOutcome::Shed));
-        return ExchangeOutcome::Shed;
+    // A refusal of another request, sent late or once more, proves nothing about this one.
+    if queries::echoes_request(&response, conventions, &context.plan.request_id) {
+        let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if conventions.target_server.is_some() && is_misdirected {
+            permit.release(report(AttemptOutcome::Misdirected));
+            return ExchangeOutcome::Misdirected;
+        }
+        if response.headers().contains_key(&conventions.not_run) {
+            permit.release(report(AttemptOutcome::Shed));
+            return ExchangeOutcome::Shed;
+        }
     }
     // Only the header proves that the request was not run, so such a status without it must not be forwarded.
     let unproven_not_run =
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -85,13 +85,23 @@
     request_id: &str,
 ) -> bool {
     let headers = response.headers();
-    let echoed_id = headers.get(&conventions.request_id);
-    let Some(signature) = &conventions.signature else {
-        return echoed_id.is_none_or(|echoed_id| echoed_id == request_id);
-    };
-    let signed = !response.status().is_success()
-        || (headers.contains_key(signature) && !headers.contains_key(CONTENT_ENCODING));
-    signed && echoed_id.is_some_and(|echoed_id| echoed_id == request_id)
+    let is_signed = conventions.signature.as_ref().is_none_or(|signature| {
+        !response.status().is_success()
+            || (headers.contains_key(signature) && !headers.contains_key(CONTENT_ENCODING))
+    });
+    is_signed && echoes_request(response, conventions, request_id)
+}
+
+/// Returns whether a response belongs to this request: it echoes its id. The id may be absent if responses aren't signed.
+pub fn echoes_request<Body>(
+    response: &Response<Body>,
+    conventions: &HeaderConventions,
+    request_id: &str,
+) -> bool {
+    match response.headers().get(&conventions.request_id) {
+        Some(echoed_id) => echoed_id == request_id,
+        None => conventions.signature.is_none(),
+    }
 }
 
 /// Returns whether the message framing distinguishes a complete response from a truncated one.
--- /dev/null
+++ b/crates/entry/tests/faulty_servers.rs
@@ -0,0 +1,219 @@
+//! Tests of the request path against servers that send bytes which are no answer, or another request's.
+
+mod support;
+
+use {
+    entry::{CallerResponse, HeaderConventions},
+    hyper::{header::HeaderName, Method},
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicUsize, Ordering},
+            Arc,
+        },
+        time::{Duration, Instant},
+    },
+    support::{fixture_with_conventions, incoming, send, Fixture},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
+    types::ResultCode,
+};
+
+/// Deadline of the requests, in milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+
+/// A server that sends what it is told to, whatever it is asked.
+struct RawServer {
+    address: SocketAddr,
+    /// Number of requests that it has read.
+    requests: Arc<AtomicUsize>,
+}
+
+/// Starts a server that reads the head of each request and then calls `answer` with the connection, the number of the
+/// request and its id.
+async fn raw_server<Answer, Answering>(answer: Answer) -> RawServer
+where
+    Answer: Fn(TcpStream, usize, String) -> Answering + Clone + Send + 'static,
+    Answering: std::future::Future<Output = Option<TcpStream>> + Send,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&requests);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (answer, counter) = (answer.clone(), Arc::clone(&counter));
+            tokio::spawn(async move {
+                let mut open = Some(stream);
+                while let Some(mut stream) = open.take() {
+                    let Some(head) = read_head(&mut stream).await else {
+                        return;
+                    };
+                    let number = counter.fetch_add(1, Ordering::SeqCst);
+                    open = answer(stream, number, request_id(&head)).await;
+                }
+            });
+        }
+    });
+    RawServer { address, requests }
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+fn request_id(head: &str) -> String {
+    let mut lines = head.lines();
+    let line = lines.find_map(|line| line.strip_prefix("request-id: "));
+    line.unwrap_or_default().to_owned()
+}
+
+async fn write(stream: &mut TcpStream, text: &str) {
+    // The reader may close the connection at any time.
+    let _ = stream.write_all(text.as_bytes()).await;
+}
+
+/// The conventions of a platform whose servers sign their answers, echo ids and may end an answer with the connection.
+fn conventions() -> HeaderConventions {
+    HeaderConventions {
+        request_id: HeaderName::from_static("request-id"),
+        deadline: HeaderName::from_static("deadline-ms"),
+        not_run: HeaderName::from_static("not-executed"),
+        signature: Some(HeaderName::from_static("response-signature")),
+        target_server: Some(HeaderName::from_static("target-instance")),
+        accept_close_delimited: true,
+        status_implies_not_run: true,
+        ..HeaderConventions::new()
+    }
+}
+
+fn fixture_of(servers: &[&RawServer]) -> Fixture {
+    let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+    fixture_with_conventions(&addresses, Duration::ZERO, conventions())
+}
+
+async fn request(fixture: &Fixture, method: Method, id: &str) -> CallerResponse {
+    let deadline = DEADLINE_MS.to_string();
+    let headers = [("request-id", id), ("deadline-ms", deadline.as_str())];
+    send(fixture, incoming(method, &headers, "")).await
+}
+
+fn answer_of(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn refusal_of(id: &str) -> String {
+    format!("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// A server wrote an earlier refusal once more, and the caller was told that a request had not run that it was running.
+#[tokio::test]
+async fn handle_request_earlier_refusal_again() {
+    for status in ["503 Service Unavailable", "421 Misdirected Request"] {
+        let server = raw_server(move |mut stream, _, id| async move {
+            let refusal = refusal_of("earlier").replace("503 Service Unavailable", status);
+            write(&mut stream, &refusal).await;
+            write(&mut stream, &answer_of(&id, "done")).await;
+            Some(stream)
+        })
+        .await;
+        let other = raw_server(|mut stream, _, id| async move {
+            write(&mut stream, &answer_of(&id, "done")).await;
+            Some(stream)
+        })
+        .await;
+        let fixture = fixture_of(&[&server, &other]);
+        let response = request(&fixture, Method::POST, "mine").await;
+        assert_eq!(response.code(), ResultCode::OutcomeUnknown, "{status}");
+        let runs = other.requests.load(Ordering::SeqCst);
+        assert_eq!(runs, 0, "{status}: run by a second server");
+    }
+}
+
+/// On a kept connection too, only a refusal of the request itself proves that it has not run.
+#[tokio::test]
+async fn handle_request_earlier_refusal_kept_connection() {
+    let server = raw_server(|mut stream, number, id| async move {
+        let earlier = if number == 0 {
+            String::new()
+        } else {
+            refusal_of("earlier")
+        };
+        write(&mut stream, &earlier).await;
+        write(&mut stream, &answer_of(&id, "done")).await;
+        Some(stream)
+    })
+    .await;
+    let fixture = fixture_of(&[&server]);
+    let first = request(&fixture, Method::GET, "first").await;
+    assert_eq!(first.code(), ResultCode::Answered);
+    sleep(Duration::from_millis(50)).await;
+    let second = request(&fixture, Method::GET, "second").await;
+    assert_eq!(second.code(), ResultCode::OutcomeUnknown);
+}
+
+/// A server stopped in the middle of its answer's head and closed the connection.
+#[tokio::test]
+async fn handle_request_head_ends_early() {
+    let whole = answer_of("mine", "done");
+    let head_bytes = whole.len() - "done".len();
+    for sent_bytes in 1..head_bytes {
+        let part = whole[..sent_bytes].to_owned();
+        let server = raw_server(move |mut stream, _, _| {
+            let part = part.clone();
+            async move {
+                write(&mut stream, &part).await;
+                None
+            }
+        })
+        .await;
+        let fixture = fixture_of(&[&server]);
+        let response = request(&fixture, Method::POST, "mine").await;
+        assert_eq!(
+            response.code(),
+            ResultCode::OutcomeUnknown,
+            "after {sent_bytes} bytes"
+        );
+    }
+}
+
+/// A server sent a head without end.
+#[tokio::test]
+async fn handle_request_endless_head() {
+    let lines = ["X-More: x\r\n", "x", "HTTP/1.1 100 Continue\r\n\r\n"];
+    for line in lines {
+        let server = raw_server(move |mut stream, _, _| async move {
+            if line != lines[2] {
+                write(&mut stream, "HTTP/1.1 200 OK\r\n").await;
+            }
+            while stream.write_all(line.repeat(100).as_bytes()).await.is_ok() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            None
+        })
+        .await;
+        let fixture = fixture_of(&[&server]);
+        let started = Instant::now();
+        let response = request(&fixture, Method::POST, "mine").await;
+        let execution = response.code().execution_status();
+        assert_eq!(execution, types::ExecutionStatus::Unknown, "{line}");
+        assert!(
+            started.elapsed() < Duration::from_millis(DEADLINE_MS + 300),
+            "{line}"
+        );
+    }
+}
--- a/crates/entry/tests/handle_request.rs
+++ b/crates/entry/tests/handle_request.rs
@@ -1,31 +1,21 @@
 //! Tests of the request path against test servers, with closures in place of the pool owner and the log.
 
+mod support;
+
 use {
-    bytes::Bytes,
-    config::{DetectionMode, Document, DocumentIndex, RequestKind, Route, Service},
+    config::{Document, DocumentIndex},
     entry::{
-        commands::handle_request, AttemptOutcome, CallerResponse, ClaimOutcome, Claims,
-        ConnectionPool, ForwardedResponse, Grant, HeaderConventions, IncomingRequest, Proxy,
-        Refusal, Release, RequestHead, RoutingConfig, SlotPolicy,
+        commands::handle_request, AttemptOutcome, CallerResponse, ForwardedResponse,
+        HeaderConventions, RoutingConfig,
     },
-    http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Method},
+    http_body_util::BodyExt,
+    hyper::Method,
     standin::{Backend, BackendKnobs, FaultProxy, GrayFault},
-    std::{
-        convert::Infallible,
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
+    support::{fixture_with_conventions, incoming, send, Fixture},
     types::ResultCode,
 };
 
-/// A proxy with a fixed list of servers, which are tried in order.
-struct Fixture {
-    proxy: Arc<Proxy>,
-    releases: Arc<Mutex<Vec<Release>>>,
-}
-
 fn fixture(addresses: &[SocketAddr]) -> Fixture {
     fixture_with_pause(addresses, Duration::ZERO)
 }
@@ -35,96 +25,6 @@
     fixture_with_conventions(addresses, pause, HeaderConventions::new())
 }
 
-/// As [`fixture_with_pause`], with other conventions.
-fn fixture_with_conventions(
-    addresses: &[SocketAddr],
-    pause: Duration,
-    conventions: HeaderConventions,
-) -> Fixture {
-    let addresses = addresses.to_vec();
-    let releases = Arc::new(Mutex::new(Vec::new()));
-    let recorded = Arc::clone(&releases);
-    let slots = SlotPolicy {
-        acquire: Box::new(move |request| {
-            let number = (0..addresses.len()).find(|n| !request.exclude.contains(&n.to_string()));
-            let grant = number.map(|number| Grant {
-                service: request.service.clone(),
-                area: "a".into(),
-                owner: String::new(),
-                permit_id: 1,
-                server: number.to_string(),
-                address: addresses[number],
-                hedge_after_ms: 100,
-                reason: "test",
-            });
-            let code = ResultCode::NoServer;
-            std::thread::sleep(pause);
-            Box::pin(async move { grant.ok_or(Refusal::new(code)) })
-        }),
-        release: Box::new(move |release| recorded.lock().expect("no panic").push(release)),
-    };
-    let claims = Claims {
-        claim: Box::new(|_, _, _| Box::pin(async { ClaimOutcome::Claimed(1) })),
-        settle: Box::new(|_, _, _| {}),
-    };
-    let proxy = Arc::new(Proxy {
-        slots,
-        claims,
-        connections: ConnectionPool::new(),
-        conventions,
-        on_retry: Box::new(|_, _| {}),
-        on_response: Box::new(|_, _, _| {}),
-    });
-    Fixture { proxy, releases }
-}
-
-fn document() -> Document {
-    let route = |method: &str, kind| Route {
-        methods: vec![method.into()],
-        ..Route::new("/", "s", kind)
-    };
-    Document {
-        services: vec![Service {
-            name: "s".into(),
-            detection: DetectionMode::Fast,
-            floor_slots: 0,
-            deadline_ms: 1_500,
-            retry_percent: 10,
-            max_body_bytes: 1_000,
-            hold_bytes: 1_000,
-        }],
-        routes: vec![
-            route("GET", RequestKind::Safe),
-            route("POST", RequestKind::Unsafe),
-        ],
-        limits: None,
-    }
-}
-
-fn incoming(
-    method: Method,
-    headers: &[(&'static str, &str)],
-    body: &'static str,
-) -> IncomingRequest {
-    let mut map = HeaderMap::new();
-    for (name, value) in headers {
-        map.insert(*name, value.parse().expect("a value"));
-    }
-    let full = Full::new(Bytes::from_static(body.as_bytes()));
-    IncomingRequest {
-        head: RequestHead {
-            method,
-            uri: "/x".parse().expect("a path"),
-            headers: map,
-        },
-        body: full
-            .map_err(|never: Infallible| match never {})
-            .boxed_unsync(),
-        content_length_bytes: Some(body.len() as u64),
-        received: Instant::now(),
-    }
-}
-
 async fn backend(gray: GrayFault) -> Backend {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let knobs = BackendKnobs {
@@ -135,17 +35,6 @@
     Backend::new("b", any, knobs).await.expect("a server")
 }
 
-async fn send(fixture: &Fixture, incoming: IncomingRequest) -> CallerResponse {
-    let document = document();
-    let config = RoutingConfig {
-        version: 1,
-        is_current: true,
-        document: &document,
-        index: &DocumentIndex::new(&document),
-    };
-    handle_request(&fixture.proxy, config, incoming).await
-}
-
 fn execution_count(backend: &Backend) -> u32 {
     backend.executions().values().map(|runs| runs.count).sum()
 }
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,127 @@
+//! A proxy whose slots, claims and servers are fixed, with closures in place of the pool owner and the log.
+
+use {
+    bytes::Bytes,
+    config::{DetectionMode, Document, DocumentIndex, RequestKind, Route, Service},
+    entry::{
+        commands::handle_request, CallerResponse, ClaimOutcome, Claims, ConnectionPool, Grant,
+        HeaderConventions, IncomingRequest, Proxy, Refusal, Release, RequestHead, RoutingConfig,
+        SlotPolicy,
+    },
+    http_body_util::{BodyExt, Full},
+    hyper::{HeaderMap, Method},
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    types::ResultCode,
+};
+
+/// A proxy with a fixed list of servers, which are tried in order.
+pub(crate) struct Fixture {
+    pub(crate) proxy: Arc<Proxy>,
+    pub(crate) releases: Arc<Mutex<Vec<Release>>>,
+}
+
+/// Creates a proxy of the servers at these addresses; acquiring a slot blocks for `pause`, as in a suspended process.
+pub(crate) fn fixture_with_conventions(
+    addresses: &[SocketAddr],
+    pause: Duration,
+    conventions: HeaderConventions,
+) -> Fixture {
+    let addresses = addresses.to_vec();
+    let releases = Arc::new(Mutex::new(Vec::new()));
+    let recorded = Arc::clone(&releases);
+    let slots = SlotPolicy {
+        acquire: Box::new(move |request| {
+            let number = (0..addresses.len()).find(|n| !request.exclude.contains(&n.to_string()));
+            let grant = number.map(|number| Grant {
+                service: request.service.clone(),
+                area: "a".into(),
+                owner: String::new(),
+                permit_id: 1,
+                server: number.to_string(),
+                address: addresses[number],
+                hedge_after_ms: 100,
+                reason: "test",
+            });
+            let code = ResultCode::NoServer;
+            std::thread::sleep(pause);
+            Box::pin(async move { grant.ok_or(Refusal::new(code)) })
+        }),
+        release: Box::new(move |release| recorded.lock().expect("no panic").push(release)),
+    };
+    let claims = Claims {
+        claim: Box::new(|_, _, _| Box::pin(async { ClaimOutcome::Claimed(1) })),
+        settle: Box::new(|_, _, _| {}),
+    };
+    let proxy = Arc::new(Proxy {
+        slots,
+        claims,
+        connections: ConnectionPool::new(),
+        conventions,
+        on_retry: Box::new(|_, _| {}),
+        on_response: Box::new(|_, _, _| {}),
+    });
+    Fixture { proxy, releases }
+}
+
+fn document() -> Document {
+    let route = |method: &str, kind| Route {
+        methods: vec![method.into()],
+        ..Route::new("/", "s", kind)
+    };
+    Document {
+        services: vec![Service {
+            name: "s".into(),
+            detection: DetectionMode::Fast,
+            floor_slots: 0,
+            deadline_ms: 1_500,
+            retry_percent: 10,
+            max_body_bytes: 1_000,
+            hold_bytes: 1_000,
+        }],
+        routes: vec![
+            route("GET", RequestKind::Safe),
+            route("POST", RequestKind::Unsafe),
+        ],
+        limits: None,
+    }
+}
+
+pub(crate) fn incoming(
+    method: Method,
+    headers: &[(&'static str, &str)],
+    body: &'static str,
+) -> IncomingRequest {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.insert(*name, value.parse().expect("a value"));
+    }
+    let full = Full::new(Bytes::from_static(body.as_bytes()));
+    IncomingRequest {
+        head: RequestHead {
+            method,
+            uri: "/x".parse().expect("a path"),
+            headers: map,
+        },
+        body: full
+            .map_err(|never: Infallible| match never {})
+            .boxed_unsync(),
+        content_length_bytes: Some(body.len() as u64),
+        received: Instant::now(),
+    }
+}
+
+pub(crate) async fn send(fixture: &Fixture, incoming: IncomingRequest) -> CallerResponse {
+    let document = document();
+    let config = RoutingConfig {
+        version: 1,
+        is_current: true,
+        document: &document,
+        index: &DocumentIndex::new(&document),
+    };
+    handle_request(&fixture.proxy, config, incoming).await
+}
