End an answer that goes on past its request's deadline

Cause: once the head of a long answer had been passed on, nothing bounded its body, so it went on for as long as the caller read, with its slot taken. Change: a body that goes on 250 ms past the deadline ends in an error, which aborts the caller's connection, so it can't look whole; the slot is released as failed.

Test: handle_request_endless_body, with and without chunks, ran for minutes without the change.

--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -25,10 +25,14 @@
             atomic::{AtomicBool, Ordering},
             Arc,
         },
-        time::Instant,
+        time::{Duration, Instant},
     },
+    tokio::time::timeout_at,
 };
 
+/// Time after the request's deadline for which a response body may go on, in milliseconds.
+const BODY_GRACE_MS: u64 = 250;
+
 /// How an exchange ended.
 #[derive(Debug)]
 pub(crate) enum ExchangeOutcome {
@@ -254,21 +258,22 @@
 }
 
 impl ResponseStream {
-    /// Reads the next data. A complete body returns the connection to the pool, an error closes it.
+    /// Reads the next data. A complete body returns the connection to the pool, an error closes it, as does a body that
+    /// goes on past the request's deadline, since it may have no end.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        let end = self.context.plan.deadline + Duration::from_millis(BODY_GRACE_MS);
         loop {
-            match self.body.frame().await {
+            let frame = match timeout_at(end.into(), self.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Err(self.fail(io::ErrorKind::TimedOut.into())),
+            };
+            match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
                 }
-                Some(Err(error)) => {
-                    self.connection = None;
-                    self.permit
-                        .release(AttemptReport::new(AttemptOutcome::Failed));
-                    return Err(io::Error::other(error));
-                }
+                Some(Err(error)) => return Err(self.fail(io::Error::other(error))),
                 None => {
                     self.finish();
                     return Ok(None);
@@ -277,6 +282,13 @@
         }
     }
 
+    fn fail(&mut self, error: io::Error) -> io::Error {
+        self.connection = None;
+        self.permit
+            .release(AttemptReport::new(AttemptOutcome::Failed));
+        error
+    }
+
     fn finish(&mut self) {
         let Some(connection) = self.connection.take() else {
             return;
--- a/crates/entry/tests/faulty_servers.rs
+++ b/crates/entry/tests/faulty_servers.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use {
-    entry::{CallerResponse, HeaderConventions},
+    entry::{CallerResponse, ForwardedResponse, HeaderConventions},
+    http_body_util::BodyExt,
     hyper::{header::HeaderName, Method},
     std::{
         net::SocketAddr,
@@ -217,3 +218,41 @@
         );
     }
 }
+
+/// A server sent a body without end, and the caller's answer went on past every deadline.
+#[tokio::test]
+async fn handle_request_endless_body() {
+    for framing in ["", "Transfer-Encoding: chunked\r\n"] {
+        let server = raw_server(move |mut stream, _, id| async move {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n{framing}\r\n"
+            );
+            write(&mut stream, &head).await;
+            let data = if framing.is_empty() {
+                "x".repeat(100)
+            } else {
+                format!("64\r\n{}\r\n", "x".repeat(100))
+            };
+            while stream.write_all(data.as_bytes()).await.is_ok() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            None
+        })
+        .await;
+        let fixture = fixture_of(&[&server]);
+        let started = Instant::now();
+        let response = request(&fixture, Method::GET, "mine").await;
+        let CallerResponse::Forwarded(ForwardedResponse::Streamed(response)) = response else {
+            panic!("{framing:?}: no streamed answer");
+        };
+        let body = response.into_body().collect().await;
+        assert!(body.is_err(), "{framing:?}: ended as if it were whole");
+        let elapsed = started.elapsed();
+        assert!(
+            elapsed < Duration::from_millis(DEADLINE_MS + 500),
+            "{framing:?}: {elapsed:?}"
+        );
+        let releases = fixture.releases.lock().expect("no panic");
+        assert_eq!(releases.len(), 1, "{framing:?}: the slot");
+    }
+}
