Send a server no requests once it says in an answer that it leaves

Change: an instance records what a server says in the answer to a request of its own, by the server's name and the start of its process, and doesn't acquire slots of servers that are leaving. A grant that arrives after the notice is given back, and another server is tried. The pool's owner learns it with the release. A later process of that name is not leaving; an owner ignores the report if its permit has expired, since it may be about an earlier process. If no other server is left, the request is refused at once.

Tests: leaving_server_by_its_answers and record_notice_of_answer fail without the change; closed_reason_series checks the notices over time. The stand-in's servers send the header, and their refusals echo the request's id, as the platform's do.

--- a/crates/daemon/src/commands.rs
+++ b/crates/daemon/src/commands.rs
@@ -13,6 +13,7 @@
 mod local_choice;
 mod logging;
 mod members;
+mod notices;
 mod peer_calls;
 mod permit_acquire;
 mod permit_release;
--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -7,17 +7,17 @@
     crate::{
         commands::{
             credit::Credit,
-            local_choice,
+            local_choice, notices,
             peer_calls::{call, CallError},
             permit_acquire, permit_release,
         },
-        queries::candidate_owners,
+        queries::{candidate_owners, closed_servers, server_closed_reason, ClosedServers},
         Node,
     },
     entry::{AcquireRequest, AttemptOutcome, Grant, Refusal, Release, SlotPolicy},
     member::{
         queries::{find_instance, pool_areas},
-        Instance, View,
+        ClosedReason, Instance, View,
     },
     std::{
         sync::Arc,
@@ -42,31 +42,73 @@
 /// Attempts to release a permit until the release is confirmed; the first fails if the connection no longer
 /// responds, and the second opens a new one.
 const RELEASE_ATTEMPTS: u32 = 2;
+/// Grants of servers that closed meanwhile until the request is refused.
+const CLOSED_GRANTS_MAX: u32 = 3;
 
 /// Returns the slot acquisition policy that the settings select.
 pub(crate) fn slot_policy(node: &Arc<Node>) -> SlotPolicy {
-    let (for_acquire, for_release) = (Arc::clone(node), Arc::clone(node));
-    if !node.settings.uses_permits {
-        return SlotPolicy {
-            acquire: Box::new(move |request| {
-                let choice = local_choice::choose_server(&for_acquire, &request);
-                Box::pin(async move { choice })
-            }),
-            release: Box::new(move |release| local_choice::release(&for_release, &release)),
-        };
-    }
+    let clone = || Arc::clone(node);
+    let (for_acquire, for_release, for_notices) = (clone(), clone(), clone());
     SlotPolicy {
         acquire: Box::new(move |request| {
             let node = Arc::clone(&for_acquire);
             Box::pin(async move { acquire(&node, request).await })
         }),
         release: Box::new(move |release| release_slot(&for_release, release)),
+        record_notice: Box::new(move |grant, notice| notices::record(&for_notices, grant, notice)),
+    }
+}
+
+/// Acquires a slot of a server that takes requests from this instance. A server may close while the request waits for its
+/// slot; another one is acquired then.
+async fn acquire(node: &Arc<Node>, mut request: AcquireRequest) -> Result<Grant, Refusal> {
+    let closed = closed_servers(node, &node.view.load(), &request.service);
+    if closed.are_all {
+        return Err(closed_refusal(&closed));
+    }
+    request.exclude.extend(closed.names);
+    for _ in 0..CLOSED_GRANTS_MAX {
+        let grant = if node.settings.uses_permits {
+            acquire_from_pools(node, &request).await?
+        } else {
+            local_choice::choose_server(node, &request)?
+        };
+        let Some(reason) = server_closed_reason(node, &grant.server) else {
+            return Ok(grant);
+        };
+        request.exclude.push(grant.server.clone());
+        // Credit is issued once for a request.
+        request.is_first = false;
+        let is_leaving = reason == ClosedReason::Leaving;
+        release_slot(node, unused_slot(grant, is_leaving));
+    }
+    Err(Refusal::new(ResultCode::Overloaded))
+}
+
+/// Returns the refusal of a request if none of the service's servers takes requests from this instance.
+fn closed_refusal(closed: &ClosedServers) -> Refusal {
+    match closed.reopen_ms {
+        Some(ms) => Refusal {
+            code: ResultCode::Overloaded,
+            retry_after_ms: Some(ms),
+        },
+        None => Refusal::new(ResultCode::NoServer),
+    }
+}
+
+fn unused_slot(grant: Grant, is_leaving: bool) -> Release {
+    Release {
+        grant,
+        outcome: AttemptOutcome::Inconclusive,
+        first_byte_us: 0,
+        response_us: 0,
+        is_leaving,
     }
 }
 
 /// Requests a slot from the nearest pools without queueing, then queues at the nearest one. If the service has only one
 /// pool, the request may queue there at once.
-async fn acquire(node: &Arc<Node>, request: AcquireRequest) -> Result<Grant, Refusal> {
+async fn acquire_from_pools(node: &Arc<Node>, request: &AcquireRequest) -> Result<Grant, Refusal> {
     let view = node.view.load_full();
     let own_areas = [node.settings.data_centre.as_str(), node.settings.region()];
     let pools = pool_areas(&view, &request.service, &own_areas);
@@ -76,7 +118,7 @@
     let unreachable = local_choice::unreachable_servers(node, &request.service);
     let request = AcquireRequest {
         exclude: request.exclude.iter().cloned().chain(unreachable).collect(),
-        ..request
+        ..request.clone()
     };
     let mut credit = if request.is_first {
         Credit::issue(node, &request.service)
@@ -282,7 +324,7 @@
         evidence: outcome_json(release.outcome),
         first_byte_us: release.first_byte_us,
         whole_us: release.response_us,
-        draining: release.draining,
+        draining: release.is_leaving,
     };
     send_release(node, &release.grant.owner, permit_return);
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,7 +11,7 @@
     entry::StoredResponse,
     feed::Feed,
     jsonrpsee::ws_client::WsClient,
-    member::{PeerBackoffs, View},
+    member::{PeerBackoffs, ServerNotices, View},
     outlier::EjectionReplica,
     owner::Pools,
     permit::{CreditAccount, FleetSize, StallDetector},
@@ -138,6 +138,8 @@
     pub(crate) keys_changed: watch::Sender<u64>,
     /// This instance's own observations, by server name.
     pub(crate) local_servers: Shards<HashMap<String, LocalServerState>>,
+    /// What backend servers have told this instance, by server name.
+    pub(crate) server_notices: Shards<ServerNotices>,
     /// Pools that this node owns or recently owned.
     pub(crate) pools: Pools,
     pub(crate) metrics: Metrics,
@@ -182,6 +184,7 @@
             keys: Shards::new(SHARD_COUNT),
             keys_changed: watch::channel(0).0,
             local_servers: Shards::new(SHARD_COUNT),
+            server_notices: Shards::new(SHARD_COUNT),
             pools: Pools::new(SHARD_COUNT),
             metrics: Metrics::new()?,
             platform,
--- a/crates/daemon/tests/store.rs
+++ b/crates/daemon/tests/store.rs
@@ -73,6 +73,22 @@
     assert_eq!(cluster.backends[0].arrivals().len(), before);
 }
 
+/// The store does not know that the server leaves; only its answers say so.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_by_its_answers() {
+    let cluster = StoreCluster::new("store-leaving-answers", 2).await;
+    cluster.backends[0].update_knobs(|knobs| knobs.draining = true);
+    for number in 0..40 {
+        let response = cluster
+            .send_request(number % 2, Method::GET, "/read/1", &format!("l{number}"))
+            .await;
+        assert_eq!(response.expect("a response").status, 200);
+    }
+    // One request from each instance at most, since they are sent in turn.
+    let arrivals = cluster.backends[0].arrivals().len();
+    assert!((1..=2).contains(&arrivals), "{arrivals} requests");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn address_of_another_server() {
     let cluster = StoreCluster::new("store-reuse", 1).await;
--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -19,6 +19,7 @@
         body::{Body as _, Frame, Incoming},
         Request, Response, StatusCode, Uri,
     },
+    member::ServerNotice,
     std::{
         io,
         sync::{
@@ -120,18 +121,23 @@
     };
     let first_byte_us = started.elapsed().as_micros() as u64;
     let conventions = &context.proxy.conventions;
-    let draining = conventions
-        .draining
-        .as_ref()
-        .is_some_and(|name| response.headers().get(name).is_some_and(|v| v == "true"));
+    let is_own = queries::echoes_request(&response, conventions, &context.plan.request_id);
+    let notice = if is_own {
+        queries::server_notice(&response, conventions)
+    } else {
+        ServerNotice::default()
+    };
+    if notice != ServerNotice::default() {
+        (context.proxy.slots.record_notice)(permit.grant(), notice);
+    }
     let report = |outcome| AttemptReport {
         outcome,
         first_byte_us,
         response_us: 0,
-        draining,
+        is_leaving: notice.is_leaving,
     };
     // A refusal of another request, sent late or once more, proves nothing about this one.
-    if queries::echoes_request(&response, conventions, &context.plan.request_id) {
+    if is_own {
         let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
         if conventions.target_server.is_some() && is_misdirected {
             permit.release(report(AttemptOutcome::Misdirected));
--- a/crates/entry/src/commands/permit.rs
+++ b/crates/entry/src/commands/permit.rs
@@ -26,7 +26,7 @@
     pub(crate) outcome: AttemptOutcome,
     pub(crate) first_byte_us: u64,
     pub(crate) response_us: u64,
-    pub(crate) draining: bool,
+    pub(crate) is_leaving: bool,
 }
 
 impl AttemptReport {
@@ -36,7 +36,7 @@
             outcome,
             first_byte_us: 0,
             response_us: 0,
-            draining: false,
+            is_leaving: false,
         }
     }
 }
@@ -67,7 +67,7 @@
             outcome: report.outcome,
             first_byte_us: report.first_byte_us,
             response_us: report.response_us,
-            draining: report.draining,
+            is_leaving: report.is_leaving,
         });
     }
 
--- a/crates/entry/src/conventions.rs
+++ b/crates/entry/src/conventions.rs
@@ -15,8 +15,8 @@
     pub idempotency_key: Option<HeaderName>,
     /// Present on a response if the request was not run.
     pub not_run: HeaderName,
-    /// `true` on the responses of a draining server, if servers send such a header.
-    pub draining: Option<HeaderName>,
+    /// `true` or `1` on the responses of a leaving server, if servers send such a header.
+    pub leaving: Option<HeaderName>,
     /// Name of the server that the request is for; another server at the same address answers 421. `None` if
     /// servers do not check it.
     pub target_server: Option<HeaderName>,
@@ -36,7 +36,7 @@
             deadline: HeaderName::from_static("x-deadline-ms"),
             idempotency_key: Some(HeaderName::from_static("idempotency-key")),
             not_run: HeaderName::from_static("x-request-shed"),
-            draining: Some(HeaderName::from_static("x-draining")),
+            leaving: Some(HeaderName::from_static("x-draining")),
             target_server: None,
             signature: None,
             accept_close_delimited: false,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,7 @@
     conventions::HeaderConventions,
     proxy::{
         AcquireRequest, AttemptOutcome, ClaimOutcome, Claims, Grant, OnResponse, OnRetry, Proxy,
-        Refusal, Release, Settlement, SlotPolicy,
+        RecordNotice, Refusal, Release, Settlement, SlotPolicy,
     },
     request::{
         IdempotencyKey, IncomingRequest, RequestBody, RequestHead, RequestPlan, RoutingConfig,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -4,6 +4,7 @@
     crate::{ConnectionPool, HeaderConventions, StoredResponse},
     claim::KeyDigest,
     futures_util::future::BoxFuture,
+    member::ServerNotice,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -103,10 +104,13 @@
     pub first_byte_us: u64,
     /// Time to the complete response, in microseconds; 0 if there was none.
     pub response_us: u64,
-    /// Whether the server announced that it is draining.
-    pub draining: bool,
+    /// Whether the server said that it is leaving.
+    pub is_leaving: bool,
 }
 
+/// Records what the server of a granted slot said.
+pub type RecordNotice = dyn Fn(&Grant, ServerNotice) + Send + Sync;
+
 /// How slots are acquired and released.
 pub struct SlotPolicy {
     /// Acquires a slot.
@@ -114,6 +118,8 @@
         Box<dyn Fn(AcquireRequest) -> BoxFuture<'static, Result<Grant, Refusal>> + Send + Sync>,
     /// Releases a slot without blocking.
     pub release: Box<dyn Fn(Release) + Send + Sync>,
+    /// Records what a server said in a response, before the slot is released.
+    pub record_notice: Box<RecordNotice>,
 }
 
 /// Result of claiming an idempotency key.
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -10,6 +10,7 @@
         },
         HeaderMap, Method, Response, StatusCode, Version,
     },
+    member::ServerNotice,
     std::time::Instant,
 };
 
@@ -104,6 +105,22 @@
     }
 }
 
+/// Returns what a server says in a response about further requests: that it is leaving.
+pub fn server_notice<Body>(
+    response: &Response<Body>,
+    conventions: &HeaderConventions,
+) -> ServerNotice {
+    let headers = response.headers();
+    let leaving = conventions
+        .leaving
+        .as_ref()
+        .and_then(|name| headers.get(name));
+    ServerNotice {
+        is_leaving: leaving.is_some_and(|value| value == "1" || value == "true"),
+        wait_ms: None,
+    }
+}
+
 /// Returns whether the message framing distinguishes a complete response from a truncated one.
 pub fn has_reliable_framing<Content>(
     response: &Response<Content>,
--- a/crates/entry/tests/faulty_servers.rs
+++ b/crates/entry/tests/faulty_servers.rs
@@ -6,6 +6,7 @@
     entry::{CallerResponse, ForwardedResponse, HeaderConventions},
     http_body_util::BodyExt,
     hyper::{header::HeaderName, Method},
+    member::ServerNotice,
     std::{
         net::SocketAddr,
         sync::{
@@ -91,6 +92,7 @@
         request_id: HeaderName::from_static("request-id"),
         deadline: HeaderName::from_static("deadline-ms"),
         not_run: HeaderName::from_static("not-executed"),
+        leaving: Some(HeaderName::from_static("server-leaving")),
         signature: Some(HeaderName::from_static("response-signature")),
         target_server: Some(HeaderName::from_static("target-instance")),
         accept_close_delimited: true,
@@ -256,3 +258,40 @@
         assert_eq!(releases.len(), 1, "{framing:?}: the slot");
     }
 }
+
+/// What a server says about further requests counts if it says so in the answer to the request.
+#[tokio::test]
+async fn record_notice_of_answer() {
+    let leaving = |is_leaving| ServerNotice {
+        is_leaving,
+        wait_ms: None,
+    };
+    let ok = "200 OK";
+    let cases = [
+        ("mine", ok, "Server-Leaving: 1", Some(leaving(true))),
+        (
+            "mine",
+            "500 Internal Server Error",
+            "Server-Leaving: 1",
+            Some(leaving(true)),
+        ),
+        ("mine", ok, "Server-Leaving: 0", None),
+        ("earlier", ok, "Server-Leaving: 1", None),
+    ];
+    for (id, status, header, expected) in cases {
+        let server = raw_server(move |mut stream, _, _| async move {
+            let answer = answer_of(id, "done").replace(ok, &format!("{status}\r\n{header}"));
+            write(&mut stream, &answer).await;
+            Some(stream)
+        })
+        .await;
+        let fixture = fixture_of(&[&server]);
+        request(&fixture, Method::POST, "mine").await;
+        let notices = fixture.notices.lock().expect("no panic");
+        let expected: Vec<_> = expected
+            .map(|notice| ("0".to_owned(), notice))
+            .into_iter()
+            .collect();
+        assert_eq!(*notices, expected, "{id}: {status}, {header}");
+    }
+}
--- a/crates/entry/tests/handle_request.rs
+++ b/crates/entry/tests/handle_request.rs
@@ -110,6 +110,7 @@
     let response = send(&fixture, incoming(Method::POST, &[], "order")).await;
     assert_eq!(response.code(), ResultCode::Answered);
     assert_eq!((execution_count(&full), execution_count(&healthy)), (0, 1));
+    assert!(fixture.notices.lock().expect("no panic").is_empty());
 }
 
 #[tokio::test]
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -10,6 +10,7 @@
     },
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Method},
+    member::ServerNotice,
     std::{
         convert::Infallible,
         net::SocketAddr,
@@ -23,6 +24,8 @@
 pub(crate) struct Fixture {
     pub(crate) proxy: Arc<Proxy>,
     pub(crate) releases: Arc<Mutex<Vec<Release>>>,
+    /// What the servers said, with their numbers.
+    pub(crate) notices: Arc<Mutex<Vec<(String, ServerNotice)>>>,
 }
 
 /// Creates a proxy of the servers at these addresses; acquiring a slot blocks for `pause`, as in a suspended process.
@@ -34,6 +37,8 @@
     let addresses = addresses.to_vec();
     let releases = Arc::new(Mutex::new(Vec::new()));
     let recorded = Arc::clone(&releases);
+    let notices = Arc::new(Mutex::new(Vec::new()));
+    let noticed = Arc::clone(&notices);
     let slots = SlotPolicy {
         acquire: Box::new(move |request| {
             let number = (0..addresses.len()).find(|n| !request.exclude.contains(&n.to_string()));
@@ -52,6 +57,10 @@
             Box::pin(async move { grant.ok_or(Refusal::new(code)) })
         }),
         release: Box::new(move |release| recorded.lock().expect("no panic").push(release)),
+        record_notice: Box::new(move |grant, notice| {
+            let mut noticed = noticed.lock().expect("no panic");
+            noticed.push((grant.server.clone(), notice));
+        }),
     };
     let claims = Claims {
         claim: Box::new(|_, _, _| Box::pin(async { ClaimOutcome::Claimed(1) })),
@@ -65,7 +74,11 @@
         on_retry: Box::new(|_, _| {}),
         on_response: Box::new(|_, _, _| {}),
     });
-    Fixture { proxy, releases }
+    Fixture {
+        proxy,
+        releases,
+        notices,
+    }
 }
 
 fn document() -> Document {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,11 +4,13 @@
 //! that do not respond to it: a one-way network partition then affects only the pairs of instances that it separates.
 
 pub mod commands;
+mod notices;
 pub mod queries;
 mod roster;
 mod view;
 
 pub use crate::{
+    notices::{ClosedReason, ServerNotice, ServerNotices},
     roster::{Delta, ReportVersion, Roster},
     view::{
         BackendServer, Instance, PeerBackoff, PeerBackoffs, Presence, View,
--- a/crates/member/src/queries.rs
+++ b/crates/member/src/queries.rs
@@ -1,14 +1,16 @@
-//! Queries over the membership view, peer backoff and the roster.
+//! Queries over the membership view, peer backoff, the notices of servers and the roster.
 
+mod notices;
 mod roster;
 mod view;
 
 pub use self::{
+    notices::{closed_reason, noticed_servers},
     roster::{
         delta, digest, have_records_lapsed, is_grace_over, list_version, server_digest, view,
     },
     view::{
-        find_instance, instance_count, is_in_backoff, is_sync_source, live_instances, owner_order,
-        pool_areas, pool_servers, sync_sources, task_order, task_owner,
+        find_instance, find_server, instance_count, is_in_backoff, is_sync_source, live_instances,
+        owner_order, pool_areas, pool_servers, sync_sources, task_order, task_owner,
     },
 };
--- a/crates/member/src/queries/view.rs
+++ b/crates/member/src/queries/view.rs
@@ -129,6 +129,11 @@
         .map(|&at| &view.instances[at])
 }
 
+/// Returns the listed backend server with that name.
+pub fn find_server<'a>(view: &'a View, name: &str) -> Option<&'a BackendServer> {
+    view.servers_by_name.get(name).map(|&at| &view.servers[at])
+}
+
 /// Iterates over the listed backend servers of one pool.
 pub fn pool_servers<'a>(
     view: &'a View,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -115,6 +115,8 @@
     pub(crate) live_by_area: HashMap<String, Vec<usize>>,
     /// Instances by name, as indices into `instances`.
     pub(crate) instances_by_name: HashMap<String, usize>,
+    /// Backend servers by name, as indices into `servers`.
+    pub(crate) servers_by_name: HashMap<String, usize>,
     /// Backend servers by service, then by the data centre or region that their pool spans, as indices into `servers`.
     pub(crate) pools: HashMap<String, BTreeMap<String, Vec<usize>>>,
 }
@@ -138,6 +140,7 @@
         }
         let server_counts = region_server_counts(&servers);
         for (position, server) in servers.iter().enumerate() {
+            view.servers_by_name.insert(server.name.clone(), position);
             let count = server_counts.get(&(server.service.as_str(), server.region.as_str()));
             let area = if count.is_some_and(|&count| count > REGION_POOL_MAX_SERVERS) {
                 &server.data_centre
--- /dev/null
+++ b/crates/member/tests/notices.rs
@@ -0,0 +1,81 @@
+//! Tests of the servers that told this instance not to send them requests.
+
+use {
+    member::{
+        commands::record_notice, queries::closed_reason, ClosedReason, ServerNotice, ServerNotices,
+    },
+    quickcheck::quickcheck,
+};
+
+const SERVER: &str = "s";
+
+fn leaving() -> ServerNotice {
+    ServerNotice {
+        is_leaving: true,
+        wait_ms: None,
+    }
+}
+
+fn wait(wait_ms: u64) -> ServerNotice {
+    ServerNotice {
+        is_leaving: false,
+        wait_ms: Some(wait_ms),
+    }
+}
+
+quickcheck! {
+    /// A request is sent exactly when the latest process did not say that it leaves and no time that was asked for runs.
+    fn closed_reason_series(steps: Vec<(u16, bool, bool, u8)>) -> bool {
+        let mut notices = ServerNotices::default();
+        let (mut now_ms, mut process, mut is_leaving, mut open_at_ms) = (0, 1, false, 0);
+        steps.iter().all(|&(pause_ms, is_restart, says_leaving, wait_s)| {
+            now_ms += u64::from(pause_ms);
+            if is_restart {
+                process += 1;
+                is_leaving = false;
+            }
+            let wait_ms = (wait_s > 127).then(|| u64::from(wait_s) * 100);
+            let notice = ServerNotice { is_leaving: says_leaving, wait_ms };
+            record_notice(&mut notices, SERVER, process, notice, now_ms);
+            is_leaving |= says_leaving;
+            open_at_ms = open_at_ms.max(now_ms + wait_ms.unwrap_or(0));
+            let is_closed = |at_ms| closed_reason(&notices, SERVER, process, at_ms).is_some();
+            is_closed(now_ms) == (is_leaving || now_ms < open_at_ms)
+                && is_closed(open_at_ms) == is_leaving
+                && closed_reason(&notices, "other", process, now_ms).is_none()
+        })
+    }
+}
+
+#[test]
+fn closed_reason_leaving_restarted() {
+    let mut notices = ServerNotices::default();
+    assert!(record_notice(&mut notices, SERVER, 5, leaving(), 0));
+    assert!(!record_notice(&mut notices, SERVER, 5, leaving(), 1));
+    let reason =
+        |notices: &ServerNotices, started_at_ms| closed_reason(notices, SERVER, started_at_ms, 100);
+    assert_eq!(reason(&notices, 5), Some(ClosedReason::Leaving));
+    assert_eq!(reason(&notices, 6), None);
+    // What the earlier process said arrives late.
+    record_notice(&mut notices, SERVER, 6, wait(0), 10);
+    record_notice(&mut notices, SERVER, 5, leaving(), 20);
+    assert_eq!(reason(&notices, 6), None);
+}
+
+#[test]
+fn closed_reason_wait_restarted() {
+    let mut notices = ServerNotices::default();
+    record_notice(&mut notices, SERVER, 5, wait(1_000), 0);
+    record_notice(&mut notices, SERVER, 5, wait(10), 500);
+    let reason = |at_ms| closed_reason(&notices, SERVER, 6, at_ms);
+    assert_eq!(reason(999), Some(ClosedReason::WaitsUntil(1_000)));
+    assert_eq!(reason(1_000), None);
+}
+
+#[test]
+fn closed_reason_endless_wait() {
+    let mut notices = ServerNotices::default();
+    record_notice(&mut notices, SERVER, 5, wait(u64::MAX), 0);
+    assert!(closed_reason(&notices, SERVER, 5, 3_599_999).is_some());
+    assert_eq!(closed_reason(&notices, SERVER, 5, 3_600_000), None);
+}
--- a/crates/owner/src/commands/release.rs
+++ b/crates/owner/src/commands/release.rs
@@ -43,7 +43,9 @@
             state.sensitivity,
             now_ms,
         );
-        if let (true, Some(meta)) = (release.is_leaving, state.server_meta.get_mut(server)) {
+        // Without its permit the report is late, and may be about an earlier process of that name.
+        let is_leaving = release.is_leaving && permit.is_some();
+        if let (true, Some(meta)) = (is_leaving, state.server_meta.get_mut(server)) {
             meta.draining = true;
         }
         advance_warm_up(state, server, outcome);
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -3,7 +3,7 @@
 //! Protocol: `GET /_health` and `GET /_load` are probes, `PUT /_knobs` replaces the knobs, and any other request is
 //! work. A request that is shed gets a 503 with `x-request-shed: true` and is not executed; `x-draining: true` on a
 //! response announces that the server is draining. With [`BackendKnobs::uses_store_protocol`] a shed request gets
-//! `not-executed: true` instead, and no response header announces draining.
+//! `not-executed: true` instead, and `server-leaving: 1` announces draining.
 
 use {
     crate::{
@@ -11,7 +11,11 @@
         server::{full_response, serve, unix_time_ms, AbortOnDrop, HttpResponse, SharedState},
     },
     http_body_util::BodyExt,
-    hyper::{body::Incoming, header::HeaderValue, Method, Request},
+    hyper::{
+        body::Incoming,
+        header::{HeaderValue, RETRY_AFTER},
+        Method, Request,
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
@@ -67,6 +71,8 @@
     pub cold_requests: u64,
     /// Whether the server announces that it is draining.
     pub draining: bool,
+    /// For how long the server asks an instance for no further requests when it sheds one, in seconds; 0 to not ask.
+    pub retry_after_s: u32,
     /// Whether the load endpoint reports all slots as in use.
     #[serde(rename = "load_lies")]
     pub reports_false_load: bool,
@@ -88,6 +94,7 @@
             slots: 4,
             cold_requests: 0,
             draining: false,
+            retry_after_s: 0,
             reports_false_load: false,
             background_errors_permille: 0,
             uses_store_protocol: false,
@@ -251,16 +258,16 @@
     let mut work = WorkRequest::new(&request);
     let target = request.headers().get("target-instance");
     if uses_store_protocol && target.is_some_and(|target| target != name.as_str()) {
-        return Some(full_response(421, "another server"));
+        return Some(sign_response(
+            full_response(421, "another server"),
+            &work.id,
+            &name,
+        ));
     }
-    let knobs = admit(&shared, &work, other_requests);
-    let Some((knobs, service_us)) = knobs else {
-        let flag_header = if uses_store_protocol {
-            "not-executed"
-        } else {
-            "x-request-shed"
-        };
-        return Some(set_flag_header(shed_response(), flag_header));
+    let admitted = admit(&shared, &work, other_requests);
+    let Some((knobs, service_us)) = admitted else {
+        let knobs = shared.lock().knobs.clone();
+        return Some(shed_response(&work.id, &name, &knobs));
     };
     let received = request.into_body().collect().await.ok()?.to_bytes();
     work.received_bytes = received.len();
@@ -291,7 +298,7 @@
         } else {
             work.id.as_str()
         };
-        sign_response(response, id, &name)
+        with_leaving(sign_response(response, id, &name), &knobs)
     } else if knobs.draining {
         set_flag_header(response, "x-draining")
     } else {
@@ -354,8 +361,26 @@
     response
 }
 
-fn shed_response() -> HttpResponse {
-    full_response(503, "shed")
+fn shed_response(id: &str, server: &str, knobs: &BackendKnobs) -> HttpResponse {
+    let mut response = full_response(503, "shed");
+    if knobs.retry_after_s > 0 {
+        let value = HeaderValue::from(knobs.retry_after_s);
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    if !knobs.uses_store_protocol {
+        return set_flag_header(response, "x-request-shed");
+    }
+    let response = sign_response(response, id, server);
+    with_leaving(set_flag_header(response, "not-executed"), knobs)
+}
+
+/// Sets the store protocol's header of a leaving server if the server is draining.
+fn with_leaving(mut response: HttpResponse, knobs: &BackendKnobs) -> HttpResponse {
+    if knobs.draining {
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert("server-leaving", value);
+    }
+    response
 }
 
 fn set_flag_header(mut response: HttpResponse, name: &'static str) -> HttpResponse {
