Send a server no requests for the time that it asks for with 503

No code read the header: a server that shed everything and asked for 5 s was tried again within a second, and for as long as the others were no better the callers were told to come back after 0.2 s.

The instance acquires no slot of that server until then, also of a later process of its name. If all servers of a service ask for time, requests are refused at once, with the time until the first of them takes requests again. Answers to other requests don't count, nor dates, nor other statuses.

Worst sum: once the notice is recorded, no new exchange with that server begins; what began before arrives within the time for opening a connection, a quarter of a second, so nothing arrives half a second later.

Tests: retry_after_of_a_server and the cases of record_notice_of_answer with `Retry-After` fail without the change.

--- a/crates/daemon/tests/store.rs
+++ b/crates/daemon/tests/store.rs
@@ -89,6 +89,48 @@
     assert!((1..=2).contains(&arrivals), "{arrivals} requests");
 }
 
+/// A server sheds everything and asks for no requests for a time; the other one serves. Then both do.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_after_of_a_server() {
+    let cluster = &StoreCluster::new("store-retry-after", 1).await;
+    let shed_all = |backend: usize| {
+        cluster.backends[backend].update_knobs(|knobs| {
+            knobs.slots = 0;
+            knobs.retry_after_s = 5;
+        });
+    };
+    let send = |id: String| async move {
+        let response = cluster.send_request(0, Method::GET, "/read/1", &id).await;
+        response.expect("a response")
+    };
+    shed_all(0);
+    for number in 0..30 {
+        assert_eq!(send(format!("r{number}")).await.status, 200);
+        sleep(Duration::from_millis(30)).await;
+    }
+    assert_eq!(cluster.backends[0].arrivals().len(), 1);
+    shed_all(1);
+    assert_eq!(send("both".to_owned()).await.status, 503);
+    for number in 0..10 {
+        let refused = send(format!("b{number}")).await;
+        assert_eq!(refused.status, 503);
+        let retry_after_s: f64 = refused.header("retry-after").parse().expect("seconds");
+        assert!(0.0 < retry_after_s && retry_after_s <= 5.0, "{refused:?}");
+    }
+    assert_eq!(cluster.backends[0].arrivals().len(), 1);
+    assert_eq!(
+        cluster.backends[1]
+            .arrivals()
+            .iter()
+            .filter(|arrival| arrival.shed)
+            .count(),
+        1
+    );
+    cluster.backends[0].update_knobs(|knobs| knobs.slots = 4);
+    sleep(Duration::from_millis(5_100)).await;
+    assert_eq!(send("again".to_owned()).await.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn address_of_another_server() {
     let cluster = StoreCluster::new("store-reuse", 1).await;
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -6,7 +6,8 @@
         body::Body,
         header::{
             HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST,
-            PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+            PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING,
+            UPGRADE,
         },
         HeaderMap, Method, Response, StatusCode, Version,
     },
@@ -105,7 +106,8 @@
     }
 }
 
-/// Returns what a server says in a response about further requests: that it is leaving.
+/// Returns what a server says in a response about further requests: that it is leaving, and with status 503 for how long it
+/// wants none.
 pub fn server_notice<Body>(
     response: &Response<Body>,
     conventions: &HeaderConventions,
@@ -115,12 +117,21 @@
         .leaving
         .as_ref()
         .and_then(|name| headers.get(name));
+    let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after = headers.get(RETRY_AFTER).filter(|_| is_unavailable);
     ServerNotice {
         is_leaving: leaving.is_some_and(|value| value == "1" || value == "true"),
-        wait_ms: None,
+        wait_ms: retry_after.and_then(parse_retry_after_ms),
     }
 }
 
+/// Returns the time of a `Retry-After` header in milliseconds. It is given in seconds, which may have a fraction; a date is
+/// not understood.
+fn parse_retry_after_ms(value: &HeaderValue) -> Option<u64> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
+
 /// Returns whether the message framing distinguishes a complete response from a truncated one.
 pub fn has_reliable_framing<Content>(
     response: &Response<Content>,
--- a/crates/entry/tests/faulty_servers.rs
+++ b/crates/entry/tests/faulty_servers.rs
@@ -266,7 +266,12 @@
         is_leaving,
         wait_ms: None,
     };
+    let wait = |wait_ms| ServerNotice {
+        is_leaving: false,
+        wait_ms: Some(wait_ms),
+    };
     let ok = "200 OK";
+    let unavailable = "503 Service Unavailable";
     let cases = [
         ("mine", ok, "Server-Leaving: 1", Some(leaving(true))),
         (
@@ -277,6 +282,19 @@
         ),
         ("mine", ok, "Server-Leaving: 0", None),
         ("earlier", ok, "Server-Leaving: 1", None),
+        ("mine", unavailable, "Retry-After: 3", Some(wait(3_000))),
+        ("mine", unavailable, "Retry-After: 0.25", Some(wait(250))),
+        ("mine", unavailable, "Retry-After: 0", Some(wait(0))),
+        ("mine", unavailable, "Retry-After: -1", None),
+        ("mine", unavailable, "Retry-After: inf", None),
+        (
+            "mine",
+            unavailable,
+            "Retry-After: Fri, 31 Dec 1999 23:59:59 GMT",
+            None,
+        ),
+        ("mine", ok, "Retry-After: 3", None),
+        ("earlier", unavailable, "Retry-After: 3", None),
     ];
     for (id, status, header, expected) in cases {
         let server = raw_server(move |mut stream, _, _| async move {
