--- a/crates/daemon/src/commands/notices.rs
+++ b/crates/daemon/src/commands/notices.rs
@@ -18,13 +18,13 @@
         record_notice(notices, server, started_at_ms, notice, now_ms)
     });
     if is_news {
-        let decision = json!({
-            "event": "server takes no requests from this instance",
+        let line = json!({
+            "belief": "takes no requests from this instance",
             "service": grant.service,
             "server": server,
             "leaving": notice.is_leaving,
             "wait_ms": notice.wait_ms,
         });
-        info!(target: "decision.placement", "{decision}");
+        info!(target: "decision.belief", "{line}");
     }
 }
