soak: check retries and notices of servers, send signals in series

The soak did not look at the fleet's retries, its servers never asked for time, and it sent an instance one signal at a time. A server that leaves says so in its answers.

New checks: retries of all callers' requests in each window of 10 s (BUDGET); requests that reach a server from an instance while it wants none of it (BUDGET); requests sent 2 s after the instance had passed on an answer that says its server leaves (DRAIN).

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -8,7 +8,7 @@
         path::{Path, PathBuf},
         process::Stdio,
         sync::{Mutex, MutexGuard, PoisonError},
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::process::{Child, Command},
 };
@@ -19,6 +19,8 @@
 const DRAIN_MS: u64 = 400;
 /// Retries that the fleet may send in a window beyond a percentage of the requests.
 pub(crate) const RETRY_SLACK: u32 = 20;
+/// Requests that a server runs at a time.
+pub(crate) const SERVER_SLOTS: u32 = 4;
 /// Data centres, over which instances and servers are spread in turn.
 const DATA_CENTRES: [&str; 2] = ["dc0", "dc1"];
 
@@ -42,6 +44,8 @@
     pub(crate) ended_at: Instant,
     /// HTTP status; `None` if there was no complete response.
     pub(crate) status: Option<u16>,
+    /// Name of the backend server whose response the caller got.
+    pub(crate) server: Option<String>,
     /// Whether a response with status 200 is complete and belongs to this request; `true` for other outcomes.
     pub(crate) is_own_response: bool,
 }
@@ -65,6 +69,26 @@
     pub(crate) draining: Vec<(usize, Instant)>,
 }
 
+impl Observations {
+    /// Returns whether one of these kinds of disruption of an instance was in effect between the two times, or less than
+    /// `margin` before.
+    pub(crate) fn has_disruption(
+        &self,
+        kinds: &[&str],
+        target: usize,
+        from: Instant,
+        until: Instant,
+        margin: Duration,
+    ) -> bool {
+        self.disruptions.iter().any(|disruption| {
+            kinds.contains(&disruption.kind)
+                && disruption.target == Some(target)
+                && disruption.started_at < until
+                && disruption.ends_at + margin > from
+        })
+    }
+}
+
 /// A process under test, behind a fault proxy to the store.
 pub(crate) struct Instance {
     pub(crate) caller_address: SocketAddr,
@@ -73,6 +97,8 @@
     settings: PathBuf,
     log: PathBuf,
     pub(crate) child: Mutex<Child>,
+    /// Held while the process is stopped or killed and started again.
+    pub(crate) restarting: tokio::sync::Mutex<()>,
 }
 
 impl Instance {
@@ -101,7 +127,6 @@
 
 /// The cluster under test: the store, backend servers and instance processes.
 pub(crate) struct Cluster {
-    pub(crate) size: RunSize,
     pub(crate) store: Store,
     pub(crate) servers: Vec<TestServer>,
     pub(crate) instances: Vec<Instance>,
@@ -116,7 +141,6 @@
         let dir = env::temp_dir().join(format!("catkinhitch-soak-{seed}-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let mut cluster = Self {
-            size,
             store: Store::new(free_port).await?,
             servers: Vec::new(),
             instances: Vec::new(),
@@ -126,6 +150,7 @@
         for number in 0..size.servers {
             let knobs = BackendKnobs {
                 service_us: 20_000,
+                slots: SERVER_SLOTS,
                 uses_store_protocol: true,
                 ..BackendKnobs::default()
             };
@@ -178,6 +203,7 @@
             admin_address,
             store_proxy,
             child: Mutex::new(spawn(&file, &log)?),
+            restarting: tokio::sync::Mutex::default(),
             settings: file,
             log,
         })
--- a/crates/soak/src/commands/callers.rs
+++ b/crates/soak/src/commands/callers.rs
@@ -95,12 +95,13 @@
         id,
     )
     .await;
-    let (status, is_own_response) = match response {
+    let (status, server, is_own_response) = match response {
         Some((status, headers, body)) => (
             Some(status),
+            server_name(&headers),
             status != 200 || is_matching_response(&headers, &body, id),
         ),
-        None => (None, true),
+        None => (None, None, true),
     };
     RequestOutcome {
         id: id.to_owned(),
@@ -109,10 +110,15 @@
         sent_at,
         ended_at: Instant::now(),
         status,
+        server,
         is_own_response,
     }
 }
 
+fn server_name(headers: &HeaderMap) -> Option<String> {
+    Some(headers.get("backend-id")?.to_str().ok()?.to_owned())
+}
+
 /// Sends one request; `None` if there is no complete response in time.
 pub(crate) async fn send_request(
     client: &KeepAliveClient,
--- a/crates/soak/src/commands/faults.rs
+++ b/crates/soak/src/commands/faults.rs
@@ -1,7 +1,7 @@
 //! Overlapping faults and changes, injected from outside the processes.
 
 use {
-    crate::cluster::{Cluster, Disruption},
+    crate::cluster::{Cluster, Disruption, SERVER_SLOTS},
     fastrand::Rng,
     standin::{GrayFault, OutageMode},
     std::{
@@ -23,6 +23,17 @@
 /// Time in which a process must exit after a signal, in milliseconds; `stop_s` in its settings is four seconds.
 const STOP_TIMEOUT_MS: u64 = 5_000;
 
+/// Upper bound of the time between the starts of two series, in milliseconds.
+const SERIES_GAP_MS: u64 = 2_500;
+/// Most signals of a series.
+const SERIES_SIGNALS_MAX: usize = 4;
+/// Upper bound of the time between two signals of a series, in milliseconds.
+const SERIES_SIGNAL_GAP_MS: u64 = 300;
+/// Range of the duration of a pause in a series, in milliseconds.
+const SERIES_PAUSE_MS: std::ops::Range<u64> = 20..600;
+/// Longest time for which a shedding server asks for no requests, in seconds.
+const SHED_WAIT_MAX_S: u32 = 3;
+
 /// Kinds of disruptions, drawn with equal probability. The prefixes `store` and `server` name what is affected; the
 /// checks depend on these names.
 const DISRUPTION_KINDS: [&str; 16] = [
@@ -45,8 +56,11 @@
 ];
 
 /// Injects the faults of a seed and waits until all have ended; returns the version of the last configuration.
-pub(crate) async fn inject_faults(cluster: &Arc<Cluster>, rng: &mut Rng) -> io::Result<u64> {
-    let end = Instant::now() + Duration::from_secs(cluster.size.fault_duration_s);
+pub(crate) async fn inject_faults(
+    cluster: &Arc<Cluster>,
+    rng: &mut Rng,
+    end: Instant,
+) -> io::Result<u64> {
     let mut tasks = JoinSet::new();
     let mut version = 1;
     let mut busy_until: Vec<Instant> = vec![Instant::now(); cluster.instances.len()];
@@ -61,8 +75,12 @@
         let random = rng.u64(..);
         match kind {
             "configuration" => {
-                version += rng.u64(1..4);
-                cluster.put_config(version);
+                // Each version of a series replaces the one before at once.
+                let newest = version + rng.u64(1..4);
+                while version < newest {
+                    version += 1;
+                    cluster.put_config(version);
+                }
                 record_disruption(&cluster, kind, None, Duration::ZERO);
             }
             // Two servers always stay, and a drained one does not return.
@@ -100,6 +118,60 @@
     Ok(version)
 }
 
+/// Injects changes and signals in series until `end`: several configurations, several signals to one instance, and servers
+/// that ask for no requests. They overlap with one another and with the other faults.
+pub(crate) async fn inject_series(
+    cluster: Arc<Cluster>,
+    mut rng: Rng,
+    end: Instant,
+) -> io::Result<()> {
+    let mut tasks = JoinSet::new();
+    while Instant::now() < end {
+        sleep(Duration::from_millis(rng.u64(0..SERIES_GAP_MS))).await;
+        let (instance, server) = (
+            rng.usize(..cluster.instances.len()),
+            rng.usize(..cluster.servers.len()),
+        );
+        let (cluster, fork) = (Arc::clone(&cluster), rng.fork());
+        match rng.u8(..2) {
+            0 => tasks.spawn(send_signals(cluster, instance, fork)),
+            _ => tasks.spawn(shed_all(cluster, server, fork)),
+        };
+    }
+    while let Some(result) = tasks.join_next().await {
+        result.map_err(io::Error::other)??;
+    }
+    Ok(())
+}
+
+/// Sends an instance several signals, each before the last has had its effect.
+async fn send_signals(cluster: Arc<Cluster>, instance: usize, mut rng: Rng) -> io::Result<()> {
+    let mut tasks = JoinSet::new();
+    for _ in 0..rng.usize(2..=SERIES_SIGNALS_MAX) {
+        let kind = ["reload", "reload", "pause", "stop", "kill"][rng.usize(..5)];
+        let duration = Duration::from_millis(rng.u64(SERIES_PAUSE_MS));
+        let cluster = Arc::clone(&cluster);
+        tasks.spawn(async move { disrupt_process(&cluster, kind, instance, duration).await });
+        sleep(Duration::from_millis(rng.u64(0..SERIES_SIGNAL_GAP_MS))).await;
+    }
+    while let Some(result) = tasks.join_next().await {
+        result.map_err(io::Error::other)??;
+    }
+    Ok(())
+}
+
+/// Lets a server shed all requests for a time, and ask each instance for no more until later.
+async fn shed_all(cluster: Arc<Cluster>, server: usize, mut rng: Rng) -> io::Result<()> {
+    let duration = Duration::from_millis(rng.u64(DURATION_MS));
+    record_disruption(&cluster, "server sheds", Some(server), duration);
+    let backend = &cluster.servers[server].backend;
+    let wait_s = rng.u32(1..=SHED_WAIT_MAX_S);
+    backend.update_knobs(|knobs| (knobs.slots, knobs.retry_after_s) = (0, wait_s));
+    sleep(duration).await;
+    backend.update_knobs(|knobs| (knobs.slots, knobs.retry_after_s) = (SERVER_SLOTS, 0));
+    Ok(())
+}
+
 /// Counts a run's disruptions by kind.
 pub(crate) fn disruption_counts(cluster: &Cluster) -> BTreeMap<&'static str, usize> {
     let mut counts = BTreeMap::new();
@@ -147,6 +219,7 @@
             } else {
                 libc::SIGKILL
             };
+            let _restarting = instance.restarting.lock().await;
             instance.signal(signal);
             let exited = timeout(stop_timeout, async {
                 while !has_exited(instance) {
@@ -261,6 +334,8 @@
 async fn drain_server(cluster: &Cluster, server: usize, duration: Duration) -> io::Result<()> {
     record_disruption(cluster, "server leaves", Some(server), duration);
     cluster.put_server(server, "draining", 2);
+    let backend = &cluster.servers[server].backend;
+    backend.update_knobs(|knobs| knobs.draining = true);
     cluster
         .observations()
         .draining
--- a/crates/soak/src/commands/run_seed.rs
+++ b/crates/soak/src/commands/run_seed.rs
@@ -13,7 +13,7 @@
             atomic::{AtomicBool, Ordering},
             Arc,
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::{sleep, timeout},
 };
@@ -43,7 +43,12 @@
     let mut rng = Rng::with_seed(seed);
     let stop = Arc::new(AtomicBool::new(false));
     let caller_tasks = callers::spawn_callers(&cluster, rng.fork(), &stop);
-    let config_version = faults::inject_faults(&cluster, &mut rng).await?;
+    let end = Instant::now() + Duration::from_secs(size.fault_duration_s);
+    let series_rng = Rng::with_seed(!seed);
+    let series = faults::inject_series(Arc::clone(&cluster), series_rng, end);
+    let (config_version, series) =
+        tokio::join!(faults::inject_faults(&cluster, &mut rng, end), series);
+    let config_version = config_version.and_then(|version| series.map(|()| version))?;
     sleep(Duration::from_millis(RECOVERY_MS)).await;
     let mut violations = check_recovery(&cluster, config_version).await;
     stop.store(true, Ordering::SeqCst);
--- a/crates/soak/src/queries.rs
+++ b/crates/soak/src/queries.rs
@@ -1,5 +1,8 @@
 //! Queries: check what callers and backend servers observed against the guarantees.
 
+mod notices;
+mod retries;
+
 use {
     crate::{
         cluster::{Cluster, Disruption, Instance, Observations, RequestOutcome},
@@ -120,6 +123,11 @@
         }
     }
     violations.extend(requests_after_drain(cluster, &observations));
+    let after_leaving = notices::requests_after_leaving_answer(cluster, &observations);
+    violations.extend(after_leaving.into_iter().take(MAX_REPORTED));
+    let unwanted = notices::requests_while_unwanted(cluster, &observations);
+    violations.extend(unwanted.into_iter().take(MAX_REPORTED));
+    violations.extend(retries::excess_retries(cluster, &observations));
     violations
 }
 
@@ -135,7 +143,8 @@
         // The request may not have been read: its keep-alive connection was closing when it was sent, or no process was
         // listening between stop and restart.
         "stop" => disruption.target == Some(outcome.instance) && !was_in_progress(outcome),
-        kind => kind.starts_with("server") && kind != "server leaves",
+        "server leaves" | "server sheds" => false,
+        kind => kind.starts_with("server"),
     };
     !observations
         .disruptions
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -114,12 +114,16 @@
 }
 
 /// A request for work that reached a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Arrival {
+    /// Id of the request.
+    pub request_id: String,
     /// Time of arrival.
     pub received_at: Instant,
     /// Whether the request was shed and therefore not executed.
     pub shed: bool,
+    /// For how long the server asked for no further requests, in seconds; 0 if it did not ask.
+    pub wait_s: u32,
 }
 
 #[derive(Debug, Default)]
@@ -321,9 +325,12 @@
 ) -> Option<(BackendKnobs, u64)> {
     let mut state = shared.lock();
     let shed = other_requests >= state.knobs.slots;
+    let wait_s = if shed { state.knobs.retry_after_s } else { 0 };
     state.arrivals.push(Arrival {
+        request_id: work.id.clone(),
         received_at: Instant::now(),
         shed,
+        wait_s,
     });
     if shed {
         return None;
