Send no requests to a server that this instance knows to be leaving or gone

The pool's owner chose the server, by its own list: an owner cut off from the store and from the others granted slots of a server that the requester knew to be leaving or gone, and the requester used them.

Change: `closed_reason` looks at the requester's own list too, which now names the servers that were removed from it. A slot of such a server is given back and another one acquired. A server that the list has never had may be used, since the owner may have learnt of it first. The owner isn't told: it reads the list itself.

Tests: closed_reason_listed_as_leaving and closed_reason_removed (no such check existed).

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -79,6 +79,7 @@
         request.exclude.push(grant.server.clone());
         // Credit is issued once for a request.
         request.is_first = false;
+        // The owner reads the list itself.
         let is_leaving = reason == ClosedReason::Leaving;
         release_slot(node, unused_slot(grant, is_leaving));
     }
--- a/crates/daemon/src/commands/notices.rs
+++ b/crates/daemon/src/commands/notices.rs
@@ -1,10 +1,10 @@
 //! Records what backend servers say in their responses about further requests.
 
 use {
-    crate::{queries::server_start_ms, Node},
+    crate::Node,
     entry::Grant,
     log::info,
-    member::{commands::record_notice, ServerNotice},
+    member::{commands::record_notice, queries::server_start_ms, ServerNotice},
     serde_json::json,
     types::shard_hash,
 };
--- a/crates/daemon/src/queries.rs
+++ b/crates/daemon/src/queries.rs
@@ -10,7 +10,7 @@
 pub(crate) use self::{
     claim_responses::{decode_stored_response, encode_claim_response},
     config::{authenticate, config_response, config_view, history, is_config_current},
-    notices::{closed_servers, server_closed_reason, server_start_ms, ClosedServers},
+    notices::{closed_servers, server_closed_reason, ClosedServers},
     peers::{candidate_owners, is_in_backoff, known_instances},
     status::{active_config_version, is_ready, log_age_ms, standing_name, status},
     wait::wait_for_value,
--- a/crates/daemon/src/queries/notices.rs
+++ b/crates/daemon/src/queries/notices.rs
@@ -28,11 +28,10 @@
     };
     node.server_notices.for_each(|notices| {
         for name in noticed_servers(notices) {
-            let Some(server) = find_server(view, name).filter(|server| server.service == service)
-            else {
+            if find_server(view, name).is_none_or(|server| server.service != service) {
                 continue;
-            };
-            let Some(reason) = closed_reason(notices, name, server.started_at_ms, now_ms) else {
+            }
+            let Some(reason) = closed_reason(notices, view, name, now_ms) else {
                 continue;
             };
             if let ClosedReason::WaitsUntil(until_ms) = reason {
@@ -47,20 +46,15 @@
     closed
 }
 
-/// Returns why `server` takes no requests from this instance, by what it told this instance.
+/// Returns why `server` must get no requests from this instance, by the list and by what it told this instance.
 pub(crate) fn server_closed_reason(node: &Node, server: &str) -> Option<ClosedReason> {
-    let started_at_ms = server_start_ms(&node.view.load(), server);
+    let view = node.view.load();
     let now_ms = node.now_ms();
     node.server_notices.with(shard_hash(server), |notices| {
-        closed_reason(notices, server, started_at_ms, now_ms)
+        closed_reason(notices, &view, server, now_ms)
     })
 }
 
-/// Returns the start of the listed server's process, in milliseconds since the Unix epoch; 0 if unknown.
-pub(crate) fn server_start_ms(view: &View, server: &str) -> u64 {
-    find_server(view, server).map_or(0, |server| server.started_at_ms)
-}
-
 fn has_other_live_server(node: &Node, view: &View, service: &str, closed: &ClosedServers) -> bool {
     let own_areas = [node.settings.data_centre.as_str(), node.settings.region()];
     pool_areas(view, service, &own_areas).iter().any(|area| {
--- a/crates/member/src/notices.rs
+++ b/crates/member/src/notices.rs
@@ -14,7 +14,9 @@
 /// Why this instance must not send requests to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClosedReason {
-    /// The server is leaving.
+    /// It is listed as leaving, or was listed and then removed.
+    Unlisted,
+    /// It said that it is leaving.
     Leaving,
     /// It wants no requests from this instance until this time, in milliseconds.
     WaitsUntil(u64),
--- a/crates/member/src/queries.rs
+++ b/crates/member/src/queries.rs
@@ -5,7 +5,7 @@
 mod view;
 
 pub use self::{
-    notices::{closed_reason, noticed_servers},
+    notices::{closed_reason, noticed_servers, server_start_ms},
     roster::{
         delta, digest, have_records_lapsed, is_grace_over, list_version, server_digest, view,
     },
--- a/crates/member/src/queries/notices.rs
+++ b/crates/member/src/queries/notices.rs
@@ -1,15 +1,24 @@
 //! Queries over what servers have told this instance.
 
-use crate::{ClosedReason, ServerNotices};
+use crate::{queries::find_server, ClosedReason, Presence, ServerNotices, View};
 
-/// Returns why the process of `server` that started at `started_at_ms` must not be sent requests at `now_ms`.
+/// Returns why `server` must not be sent requests at `now_ms`, by the list and by what it said itself.
 pub fn closed_reason(
     notices: &ServerNotices,
+    view: &View,
     server: &str,
-    started_at_ms: u64,
     now_ms: u64,
 ) -> Option<ClosedReason> {
+    let listed = find_server(view, server);
+    let is_unlisted = match listed {
+        Some(listed) => listed.presence == Presence::Leaving,
+        None => view.removed_servers.contains(server),
+    };
+    if is_unlisted {
+        return Some(ClosedReason::Unlisted);
+    }
     let said = notices.servers.get(server)?;
+    let started_at_ms = server_start_ms(view, server);
     if started_at_ms <= said.started_at_ms && now_ms < said.leaving_until_ms {
         Some(ClosedReason::Leaving)
     } else if now_ms < said.wait_until_ms {
@@ -23,3 +32,8 @@
 pub fn noticed_servers(notices: &ServerNotices) -> impl Iterator<Item = &str> {
     notices.servers.keys().map(String::as_str)
 }
+
+/// Returns the start of the listed server's process, in milliseconds since the Unix epoch; 0 if unknown.
+pub fn server_start_ms(view: &View, server: &str) -> u64 {
+    find_server(view, server).map_or(0, |server| server.started_at_ms)
+}
--- a/crates/member/src/queries/roster.rs
+++ b/crates/member/src/queries/roster.rs
@@ -122,7 +122,12 @@
 /// Returns a view of the roster; entries are sorted by name, so that all instances see the same order.
 pub fn view(roster: &Roster) -> View {
     let instances = values(&roster.instances);
+    let tombstones = roster.tombstones.iter();
+    let removed = tombstones
+        .filter(|tombstone| tombstone.is_server && !is_listed(roster, &tombstone.name, true))
+        .map(|tombstone| tombstone.name.clone());
     View::new(roster.version, instances, values(&roster.servers))
+        .with_removed_servers(removed.collect())
 }
 
 fn values<Value>(entries: &BTreeMap<String, Entry<Value>>) -> Vec<Value>
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -1,7 +1,7 @@
 //! The membership view: an indexed snapshot of the listed servers and instances. Also the backoff state of peers.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
 };
 
@@ -117,6 +117,8 @@
     pub(crate) instances_by_name: HashMap<String, usize>,
     /// Backend servers by name, as indices into `servers`.
     pub(crate) servers_by_name: HashMap<String, usize>,
+    /// Names of backend servers that were listed and then removed.
+    pub(crate) removed_servers: HashSet<String>,
     /// Backend servers by service, then by the data centre or region that their pool spans, as indices into `servers`.
     pub(crate) pools: HashMap<String, BTreeMap<String, Vec<usize>>>,
 }
@@ -155,6 +157,12 @@
         view
     }
 
+    /// Sets the names of servers that were listed and then removed.
+    pub fn with_removed_servers(mut self, names: HashSet<String>) -> Self {
+        self.removed_servers = names;
+        self
+    }
+
     /// Adds the live instance at `position` to the index of `area`.
     fn index_live(&mut self, area: &str, position: usize) {
         let live = self.live_by_area.entry(area.to_owned()).or_default();
--- a/crates/member/tests/notices.rs
+++ b/crates/member/tests/notices.rs
@@ -2,13 +2,29 @@
 
 use {
     member::{
-        commands::record_notice, queries::closed_reason, ClosedReason, ServerNotice, ServerNotices,
+        commands::{apply_server_report, record_notice, remove_server},
+        queries::{self, closed_reason},
+        BackendServer, ClosedReason, Presence, Roster, ServerNotice, ServerNotices, View,
     },
     quickcheck::quickcheck,
 };
 
 const SERVER: &str = "s";
 
+/// Returns a view that lists the process of the server that started at `started_at_ms`.
+fn view(started_at_ms: u64, presence: Presence) -> View {
+    let server = BackendServer {
+        presence,
+        started_at_ms,
+        ..BackendServer::new(SERVER, "orders", "dc", ([127, 0, 0, 1], 1).into(), 4)
+    };
+    View::new(1, Vec::new(), vec![server])
+}
+
+fn live(started_at_ms: u64) -> View {
+    view(started_at_ms, Presence::Live)
+}
+
 fn leaving() -> ServerNotice {
     ServerNotice {
         is_leaving: true,
@@ -39,10 +55,11 @@
             record_notice(&mut notices, SERVER, process, notice, now_ms);
             is_leaving |= says_leaving;
             open_at_ms = open_at_ms.max(now_ms + wait_ms.unwrap_or(0));
-            let is_closed = |at_ms| closed_reason(&notices, SERVER, process, at_ms).is_some();
+            let listed = live(process);
+            let is_closed = |at_ms| closed_reason(&notices, &listed, SERVER, at_ms).is_some();
             is_closed(now_ms) == (is_leaving || now_ms < open_at_ms)
                 && is_closed(open_at_ms) == is_leaving
-                && closed_reason(&notices, "other", process, now_ms).is_none()
+                && closed_reason(&notices, &listed, "other", now_ms).is_none()
         })
     }
 }
@@ -52,8 +69,9 @@
     let mut notices = ServerNotices::default();
     assert!(record_notice(&mut notices, SERVER, 5, leaving(), 0));
     assert!(!record_notice(&mut notices, SERVER, 5, leaving(), 1));
-    let reason =
-        |notices: &ServerNotices, started_at_ms| closed_reason(notices, SERVER, started_at_ms, 100);
+    let reason = |notices: &ServerNotices, started_at_ms| {
+        closed_reason(notices, &live(started_at_ms), SERVER, 100)
+    };
     assert_eq!(reason(&notices, 5), Some(ClosedReason::Leaving));
     assert_eq!(reason(&notices, 6), None);
     // What the earlier process said arrives late.
@@ -67,7 +85,8 @@
     let mut notices = ServerNotices::default();
     record_notice(&mut notices, SERVER, 5, wait(1_000), 0);
     record_notice(&mut notices, SERVER, 5, wait(10), 500);
-    let reason = |at_ms| closed_reason(&notices, SERVER, 6, at_ms);
+    let listed = live(6);
+    let reason = |at_ms| closed_reason(&notices, &listed, SERVER, at_ms);
     assert_eq!(reason(999), Some(ClosedReason::WaitsUntil(1_000)));
     assert_eq!(reason(1_000), None);
 }
@@ -76,6 +95,34 @@
 fn closed_reason_endless_wait() {
     let mut notices = ServerNotices::default();
     record_notice(&mut notices, SERVER, 5, wait(u64::MAX), 0);
-    assert!(closed_reason(&notices, SERVER, 5, 3_599_999).is_some());
-    assert_eq!(closed_reason(&notices, SERVER, 5, 3_600_000), None);
+    let reason = |at_ms| closed_reason(&notices, &live(5), SERVER, at_ms);
+    assert!(reason(3_599_999).is_some());
+    assert_eq!(reason(3_600_000), None);
+}
+
+/// A pool's owner that did not know it yet granted a slot of a server that the requester knew to leave.
+#[test]
+fn closed_reason_listed_as_leaving() {
+    let notices = ServerNotices::default();
+    let reason = |presence| closed_reason(&notices, &view(5, presence), SERVER, 0);
+    assert_eq!(reason(Presence::Leaving), Some(ClosedReason::Unlisted));
+    assert_eq!(reason(Presence::Live), None);
+}
+
+#[test]
+fn closed_reason_removed() {
+    let (mut roster, notices) = (Roster::new(), ServerNotices::default());
+    let reason = |roster: &Roster| closed_reason(&notices, &queries::view(roster), SERVER, 0);
+    // The owner may know a server that this instance does not know yet.
+    assert_eq!(reason(&roster), None);
+    let report = |sequence| BackendServer {
+        sequence,
+        ..BackendServer::new(SERVER, "orders", "dc", ([127, 0, 0, 1], 1).into(), 4)
+    };
+    apply_server_report(&mut roster, &report(1), 0);
+    assert_eq!(reason(&roster), None);
+    remove_server(&mut roster, SERVER, 1);
+    assert_eq!(reason(&roster), Some(ClosedReason::Unlisted));
+    apply_server_report(&mut roster, &report(2), 2);
+    assert_eq!(reason(&roster), None);
 }
