Report ready on the platform with a log only once the servers are known

An instance that had a configuration and no list of members yet reported ready and refused what came with 503.

Cause: readiness looked at the list on the store's platform only. Change: on both. Test: ready_with_member_list fails without the change.

--- a/crates/daemon/src/queries/status.rs
+++ b/crates/daemon/src/queries/status.rs
@@ -56,13 +56,12 @@
     })
 }
 
-/// Returns whether the node is ready: it knows a configuration and, on a store platform, the list of servers, and is
-/// not shutting down. On a log platform the member list is not checked.
+/// Returns whether the node is ready: it knows a configuration and the list of servers, and is not shutting down.
 pub(crate) fn is_ready(node: &Node) -> bool {
-    let knows_servers = node
-        .feed
-        .get()
-        .is_none_or(|feed| feed::queries::has_server_list(feed));
+    let knows_servers = match node.feed.get() {
+        Some(feed) => feed::queries::has_server_list(feed),
+        None => node.view.load().version > 0,
+    };
     node.stage() == Stage::Running && knows_servers
 }
 
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -39,13 +39,31 @@
     );
 }
 
+/// An instance that knew the configuration and no servers yet said that it was ready, and refused requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn ready_with_member_list() {
+    let mut cluster = Cluster::new("late-list", 0).await;
+    cluster.start_process().await;
+    let admin = cluster.processes[0].admin;
+    wait_for(|| async move {
+        let status = send(admin, Method::GET, "/status", &[], "").await;
+        status.is_some_and(|status| status.body.contains(r#""config_version":1"#))
+    })
+    .await;
+    let ready = send(admin, Method::GET, "/ready", &[], "").await;
+    assert_eq!(ready.expect("a response").status, 503);
+    cluster.publish_members();
+    wait_ready(admin).await;
+    assert_eq!(cluster.send_order(0, "first").await.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_repeat_at_other_instance() {
     let cluster = Cluster::new("repeat", 2).await;
     let first = cluster.send_order(0, "k1").await;
     let second = cluster.send_order(1, "k1").await;
     let third = cluster.send_order(0, "k1").await;
-    assert_eq!(first.status, 200);
+    assert_eq!(first.status, 200, "{}", first.body);
     assert_eq!((second.status, &second.body), (200, &first.body));
     assert_eq!((third.status, &third.body), (200, &first.body));
     assert_eq!(cluster.execution_count("k1"), 1);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -123,6 +123,12 @@
 
     /// Starts one more instance and adds it to the member list.
     pub(crate) async fn add_process(&mut self) {
+        self.start_process().await;
+        self.publish_members();
+    }
+
+    /// Starts one more instance, which the member list doesn't have yet.
+    pub(crate) async fn start_process(&mut self) {
         let name = format!("i{}", self.processes.len());
         let (caller, rpc, admin) = (free_address(), free_address(), free_address());
         let platform_proxy = FaultProxy::new(self.platform.address)
@@ -157,7 +163,6 @@
             platform_proxy,
             child,
         });
-        self.publish_members();
     }
 
     pub(crate) fn publish_members(&self) {
