Share the random faults of the tests in simulated time

The checkers of configuration and of retries had each their own faults, shrinking and seed variables, line for line alike. They are the crate `faults` now, with the same draws for the same seeds; `propagation` and `retry_budget` pass as before. The stand-in's answers set their headers in one place.

--- a/crates/feed/tests/propagation.rs
+++ b/crates/feed/tests/propagation.rs
@@ -3,17 +3,12 @@
 mod support;
 
 use {
-    quickcheck::{Arbitrary, Gen, QuickCheck},
-    std::env,
+    faults::{seeded_runner, FaultTerms, RandomFault},
     support::{play, Fault, FaultKind, Scenario, ServerState, StoreChange},
 };
 
 /// Time from the store's acknowledgement within which a change must be active everywhere, in milliseconds.
 const BOUND_MS: u64 = 2_000;
-/// Environment variable that replaces the seed of the random scenarios.
-const SEED_VARIABLE: &str = "CATKINHITCH_TEST_SEED";
-/// Environment variable that replaces the number of random scenarios.
-const COUNT_VARIABLE: &str = "CATKINHITCH_TEST_COUNT";
 const KINDS: [FaultKind; 7] = [
     FaultKind::StoreSilent,
     FaultKind::StoreRejects,
@@ -28,58 +23,20 @@
 /// Most faults of a random scenario.
 const RANDOM_FAULTS: usize = 5;
 
-/// A random fault, which shrinks towards few instances and a short time.
-#[derive(Clone, Debug)]
-struct RandomFault {
-    kind: u8,
-    at_ms: u16,
-    for_ms: u16,
-    first: u8,
-    count: u8,
-}
-
-impl Arbitrary for RandomFault {
-    fn arbitrary(gen: &mut Gen) -> Self {
-        Self {
-            kind: u8::arbitrary(gen) % KINDS.len() as u8,
-            at_ms: u16::arbitrary(gen) % 8_000,
-            for_ms: 500 + u16::arbitrary(gen) % 8_000,
-            first: u8::arbitrary(gen),
-            count: u8::arbitrary(gen),
-        }
-    }
-
-    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let (fault, other) = (self.clone(), self.clone());
-        let shorter = self.for_ms.shrink().map(move |for_ms| Self {
-            for_ms,
-            ..fault.clone()
-        });
-        let fewer = self.count.shrink().map(move |count| Self {
-            count,
-            ..other.clone()
-        });
-        Box::new(shorter.chain(fewer))
-    }
-}
-
-impl RandomFault {
-    fn to_fault(&self) -> Fault {
-        let kind = KINDS[usize::from(self.kind) % KINDS.len()];
-        // Steps of a number that is coprime to the fleet's size visit all instances in a mixed order.
-        let affected = (0..usize::from(self.count) % RANDOM_INSTANCES)
-            .map(|step| (usize::from(self.first) + step * 7) % RANDOM_INSTANCES);
-        Fault {
-            kind,
-            at_ms: self.at_ms.into(),
-            for_ms: if kind == FaultKind::Kill {
-                0
-            } else {
-                self.for_ms.into()
-            },
-            instances: affected.collect(),
-        }
+fn to_fault(random: &RandomFault) -> Fault {
+    let kind = random.kind(&KINDS);
+    let terms = FaultTerms {
+        begin_ms: 0..8_000,
+        duration_ms: 500..8_500,
+        instances: RANDOM_INSTANCES,
+        affected_max: RANDOM_INSTANCES - 1,
+        stride: 7,
+    };
+    let mut fault = random.to_fault(kind, &terms);
+    if kind == FaultKind::Kill {
+        fault.for_ms = 0;
     }
+    fault
 }
 
 /// Returns the changes of a run: with each version of the configuration one server leaves, is removed, or is removed and
@@ -122,31 +79,19 @@
         .collect()
 }
 
-fn variable(name: &str, default: u64) -> u64 {
-    let set = env::var(name).ok().and_then(|text| text.parse().ok());
-    set.unwrap_or(default)
-}
-
 /// Some changes were active seconds too late while the store refused some instances and others were cut off.
 #[test]
 fn change_known_in_time() {
     fn property(seed: u64, faults: Vec<RandomFault>) -> bool {
-        let faults: Vec<Fault> = faults
-            .iter()
-            .take(RANDOM_FAULTS)
-            .map(RandomFault::to_fault)
-            .collect();
+        let faults = faults.iter().take(RANDOM_FAULTS);
+        let faults: Vec<Fault> = faults.map(to_fault).collect();
         let outcome = play(&scenario(seed, RANDOM_INSTANCES, &faults));
         for violation in &outcome.violations {
             eprintln!("{violation:?}");
         }
         outcome.violations.is_empty()
     }
-    let gen = Gen::from_size_and_seed(50, variable(SEED_VARIABLE, 18));
-    QuickCheck::new()
-        .tests(variable(COUNT_VARIABLE, 60))
-        .rng(gen)
-        .quickcheck(property as fn(u64, Vec<RandomFault>) -> bool);
+    seeded_runner(50, 60).quickcheck(property as fn(u64, Vec<RandomFault>) -> bool);
 }
 
 /// Instances that could reach the store waited for others that could not, and served an old version for seconds.
--- a/crates/feed/tests/support/fault.rs
+++ b/crates/feed/tests/support/fault.rs
@@ -19,29 +19,5 @@
     Kill,
 }
 
-/// A fault of some instances for some time.
-#[derive(Clone, Debug)]
-pub(crate) struct Fault {
-    pub(crate) kind: FaultKind,
-    /// Begin, in milliseconds after the fleet has settled.
-    pub(crate) at_ms: u64,
-    pub(crate) for_ms: u64,
-    /// Instances that it affects.
-    pub(crate) instances: Vec<usize>,
-}
-
-impl Fault {
-    pub(crate) fn end_ms(&self) -> u64 {
-        self.at_ms + self.for_ms
-    }
-
-    pub(crate) fn is_active(&self, instance: usize, now_ms: u64) -> bool {
-        (self.at_ms..self.end_ms()).contains(&now_ms) && self.instances.contains(&instance)
-    }
-
-    /// Returns whether the fault affects the instance at `now_ms` or did in the `stable_ms` before.
-    pub(crate) fn is_recent(&self, instance: usize, now_ms: u64, stable_ms: u64) -> bool {
-        (self.at_ms..=self.end_ms() + stable_ms).contains(&now_ms)
-            && self.instances.contains(&instance)
-    }
-}
+/// A fault that begins some time after the fleet has settled.
+pub(crate) type Fault = faults::Fault<FaultKind>;
--- a/crates/owner/tests/fleet/mod.rs
+++ b/crates/owner/tests/fleet/mod.rs
@@ -56,14 +56,7 @@
     Unknown,
 }
 
-/// A fault of some instances for some time.
-#[derive(Clone, Debug)]
-pub(crate) struct Fault {
-    pub(crate) kind: FaultKind,
-    pub(crate) at_ms: u64,
-    pub(crate) for_ms: u64,
-    pub(crate) instances: Vec<usize>,
-}
+pub(crate) type Fault = faults::Fault<FaultKind>;
 
 /// What the servers saw.
 #[derive(Clone, Debug, Default)]
@@ -150,11 +143,8 @@
 
 impl Fleet {
     fn has_fault(&self, instance: usize, kinds: &[FaultKind]) -> bool {
-        self.faults.iter().any(|fault| {
-            kinds.contains(&fault.kind)
-                && fault.instances.contains(&instance)
-                && (fault.at_ms..fault.at_ms + fault.for_ms).contains(&self.now_ms)
-        })
+        let mut faults = self.faults.iter();
+        faults.any(|fault| kinds.contains(&fault.kind) && fault.is_active(instance, self.now_ms))
     }
 
     fn apply_faults(&mut self) {
--- a/crates/owner/tests/retry_budget.rs
+++ b/crates/owner/tests/retry_budget.rs
@@ -3,15 +3,10 @@
 mod fleet;
 
 use {
+    faults::{seeded_runner, FaultTerms, RandomFault},
     fleet::{play, Fault, FaultKind, Record, DURATION_MS, INSTANCES, PERCENT, SLACK, WINDOW_MS},
-    quickcheck::{Arbitrary, Gen, QuickCheck},
-    std::env,
 };
 
-/// Environment variable that replaces the seed of the random runs.
-const SEED_VARIABLE: &str = "CATKINHITCH_TEST_SEED";
-/// Environment variable that replaces the number of random runs.
-const COUNT_VARIABLE: &str = "CATKINHITCH_TEST_COUNT";
 const KINDS: [FaultKind; 5] = [
     FaultKind::Kill,
     FaultKind::Freeze,
@@ -42,63 +37,20 @@
     })
 }
 
-/// A random fault, which shrinks towards few instances and a short time.
-#[derive(Clone, Debug)]
-struct RandomFault {
-    kind: u8,
-    at_ms: u16,
-    for_ms: u16,
-    first: u8,
-    count: u8,
-}
-
-impl Arbitrary for RandomFault {
-    fn arbitrary(gen: &mut Gen) -> Self {
-        Self {
-            kind: u8::arbitrary(gen) % KINDS.len() as u8,
-            at_ms: u16::arbitrary(gen) % (DURATION_MS - 2 * WINDOW_MS) as u16,
-            for_ms: 100 + u16::arbitrary(gen) % 6_000,
-            first: u8::arbitrary(gen),
-            count: u8::arbitrary(gen),
-        }
-    }
-
-    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let (fault, other) = (self.clone(), self.clone());
-        let shorter = self.for_ms.shrink().map(move |for_ms| Self {
-            for_ms,
-            ..fault.clone()
-        });
-        let fewer = self.count.shrink().map(move |count| Self {
-            count,
-            ..other.clone()
-        });
-        Box::new(shorter.chain(fewer))
-    }
-}
-
-impl RandomFault {
-    fn to_fault(&self) -> Fault {
-        let kind = KINDS[usize::from(self.kind) % KINDS.len()];
-        let most = match kind {
+fn to_fault(random: &RandomFault) -> Fault {
+    let kind = random.kind(&KINDS);
+    let terms = FaultTerms {
+        begin_ms: WINDOW_MS..DURATION_MS - WINDOW_MS,
+        duration_ms: 100..6_100,
+        instances: INSTANCES,
+        affected_max: match kind {
             // An instance serves nobody before it has a list, and few are missing in a list.
             FaultKind::Unknown => INSTANCES / 2,
             _ => INSTANCES,
-        };
-        let count = usize::from(self.count) % (most + 1);
-        let instances = (0..count).map(|step| (usize::from(self.first) + step * 3) % INSTANCES);
-        Fault {
-            kind,
-            at_ms: WINDOW_MS + u64::from(self.at_ms),
-            for_ms: self.for_ms.into(),
-            instances: instances.collect(),
-        }
-    }
-}
-
-fn variable(name: &str, default: u64) -> u64 {
-    let set = env::var(name).ok().and_then(|text| text.parse().ok());
-    set.unwrap_or(default)
+        },
+        stride: 3,
+    };
+    random.to_fault(kind, &terms)
 }
 
 /// A service that refused nearly everything got more repeats than the users allow while owners of its pools were lost.
@@ -106,18 +58,14 @@
 fn retries_random_faults() {
     fn property(seed: u64, faults: Vec<RandomFault>) -> bool {
         let faults = faults.iter().take(RANDOM_FAULTS);
-        let faults: Vec<Fault> = faults.map(RandomFault::to_fault).collect();
+        let faults: Vec<Fault> = faults.map(to_fault).collect();
         let excess = find_excess(&play(seed, &faults));
         if let Some((from_ms, repeats, limit)) = excess {
             eprintln!("{repeats} repeats from {from_ms} ms on, {limit} allowed: {faults:?}");
         }
         excess.is_none()
     }
-    let gen = Gen::from_size_and_seed(30, variable(SEED_VARIABLE, 18));
-    QuickCheck::new()
-        .tests(variable(COUNT_VARIABLE, 40))
-        .rng(gen)
-        .quickcheck(property as fn(u64, Vec<RandomFault>) -> bool);
+    seeded_runner(30, 40).quickcheck(property as fn(u64, Vec<RandomFault>) -> bool);
 }
 
 /// Each new owner granted the slack again that its killed predecessor had granted.
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -277,12 +277,8 @@
     work.received_bytes = received.len();
     let gray = current_fault(knobs.gray);
     if gray == GrayFault::Hang {
-        // The slot is released at the deadline without a response: the close of the connection may never arrive here.
-        if let Some(deadline_ms) = deadline_ms {
-            sleep(Duration::from_millis(deadline_ms)).await;
-            drop(slot);
-        }
-        std::future::pending::<()>().await;
+        hang(slot, deadline_ms).await;
+        return None;
     }
     let service = Duration::from_micros(service_us);
     let started = Instant::now();
@@ -295,19 +291,19 @@
         executions.service_us = executions.service_us.max(work.service_us);
     }
     let response = build_response(&work, &name, if failed { GrayFault::Errors } else { gray });
-    Some(if uses_store_protocol {
-        // The response to another request carries that request's id and signature.
-        let id = if gray == GrayFault::Mixed && !failed {
-            "someone-else"
-        } else {
-            work.id.as_str()
-        };
-        with_leaving(sign_response(response, id, &name), &knobs)
-    } else if knobs.draining {
-        set_flag_header(response, "x-draining")
-    } else {
-        response
-    })
+    // The response to another request carries that request's id and signature.
+    let is_mixed = gray == GrayFault::Mixed && !failed;
+    let id = if is_mixed { "someone-else" } else { &work.id };
+    Some(with_server_headers(response, id, &name, &knobs))
+}
+
+/// Never returns. The slot is released at the deadline: the close of the connection may never arrive here.
+async fn hang(slot: SlotGuard, deadline_ms: Option<u64>) {
+    if let Some(deadline_ms) = deadline_ms {
+        sleep(Duration::from_millis(deadline_ms)).await;
+        drop(slot);
+    }
+    std::future::pending::<()>().await;
 }
 
 /// Returns the request's deadline from its `deadline-ms` header, in milliseconds.
@@ -377,17 +373,30 @@
     if !knobs.uses_store_protocol {
         return set_flag_header(response, "x-request-shed");
     }
-    let response = sign_response(response, id, server);
-    with_leaving(set_flag_header(response, "not-executed"), knobs)
+    let response = set_flag_header(response, "not-executed");
+    with_server_headers(response, id, server, knobs)
 }
 
-/// Sets the store protocol's header of a leaving server if the server is draining.
-fn with_leaving(mut response: HttpResponse, knobs: &BackendKnobs) -> HttpResponse {
-    if knobs.draining {
-        let value = HeaderValue::from_static("1");
-        response.headers_mut().insert("server-leaving", value);
+/// Sets the headers of every answer: on the store's platform the signature of the request `id`, and that the server is
+/// draining.
+fn with_server_headers(
+    response: HttpResponse,
+    id: &str,
+    server: &str,
+    knobs: &BackendKnobs,
+) -> HttpResponse {
+    match (knobs.uses_store_protocol, knobs.draining) {
+        (false, false) => response,
+        (false, true) => set_flag_header(response, "x-draining"),
+        (true, is_leaving) => {
+            let mut response = sign_response(response, id, server);
+            if is_leaving {
+                let value = HeaderValue::from_static("1");
+                response.headers_mut().insert("server-leaving", value);
+            }
+            response
+        }
     }
-    response
 }
 
 fn set_flag_header(mut response: HttpResponse, name: &'static str) -> HttpResponse {
