Don't take the notice of another server that uses the address

A request that is misdirected (421) is answered by another server, and if that one leaves it says so in this answer too. The server that the request was meant for then counted as leaving at this instance, for an hour or until its restart: working capacity would have been thrown away. Found by reading.

Change: an answer 421 carries no notice. Test: a case of record_notice_of_answer, which failed before.

--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -122,7 +122,11 @@
     let first_byte_us = started.elapsed().as_micros() as u64;
     let conventions = &context.proxy.conventions;
     let is_own = queries::echoes_request(&response, conventions, &context.plan.request_id);
-    let notice = if is_own {
+    let is_misdirected = is_own
+        && conventions.target_server.is_some()
+        && response.status() == StatusCode::MISDIRECTED_REQUEST;
+    // A misdirected request is answered by a server other than the permit's.
+    let notice = if is_own && !is_misdirected {
         queries::server_notice(&response, conventions)
     } else {
         ServerNotice::default()
@@ -136,17 +140,14 @@
         response_us: 0,
         is_leaving: notice.is_leaving,
     };
+    if is_misdirected {
+        permit.release(report(AttemptOutcome::Misdirected));
+        return ExchangeOutcome::Misdirected;
+    }
     // A refusal of another request, sent late or once more, proves nothing about this one.
-    if is_own {
-        let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if conventions.target_server.is_some() && is_misdirected {
-            permit.release(report(AttemptOutcome::Misdirected));
-            return ExchangeOutcome::Misdirected;
-        }
-        if response.headers().contains_key(&conventions.not_run) {
-            permit.release(report(AttemptOutcome::Shed));
-            return ExchangeOutcome::Shed;
-        }
+    if is_own && response.headers().contains_key(&conventions.not_run) {
+        permit.release(report(AttemptOutcome::Shed));
+        return ExchangeOutcome::Shed;
     }
     // Only the header proves that the request was not run, so such a status without it must not be forwarded.
     let unproven_not_run =
--- a/crates/entry/tests/faulty_servers.rs
+++ b/crates/entry/tests/faulty_servers.rs
@@ -282,6 +282,7 @@
         ),
         ("mine", ok, "Server-Leaving: 0", None),
         ("earlier", ok, "Server-Leaving: 1", None),
+        ("mine", "421 Misdirected Request", "Server-Leaving: 1", None),
         ("mine", unavailable, "Retry-After: 3", Some(wait(3_000))),
         ("mine", unavailable, "Retry-After: 0.25", Some(wait(250))),
         ("mine", unavailable, "Retry-After: 0", Some(wait(0))),
