Let sources refresh their data before those that depend on them

Logged reads: while the first reader was cut off, 100 instances that the store served read it every 1.3 s each. A relay's data and that of its dependents became too old at the same time, so each read for itself, and none had a reason to follow.

Change: roots and relays read once their data is 1.0 s old, the others at 1.3 s as before, so the bound of an instance does not depend on it.

--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -30,6 +30,7 @@
 fn publish_view(feed: &Feed) {
     let view = feed.state.with(0, |state| {
         state.view = Arc::new(queries::view(&state.roster));
+        state.is_source = queries::is_sync_source(&state.view, &feed.own.name);
         state.digest = queries::digest(&state.roster);
         state.server_digest = queries::server_digest(&state.roster);
         Arc::clone(&state.view)
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -1,7 +1,8 @@
 //! Reads the platform's lists while this instance is one of the readers, and whenever its data has become too old.
 //!
 //! Invariant: an instance that the platform answers holds no configuration or list of servers older than
-//! [`queries::REFRESH_AGE_MS`] and the duration of a read, whatever other instances do.
+//! [`queries::REFRESH_AGE_MS`] and the duration of a read, whatever other instances do. One on which others depend reads
+//! sooner, so that they need not.
 
 use {
     crate::{
--- a/crates/feed/src/queries/age.rs
+++ b/crates/feed/src/queries/age.rs
@@ -14,6 +14,9 @@
 /// Age from which an instance reads the platform itself, in milliseconds. It is above the age that data reaches between
 /// two syncs, and leaves time for a read and its repetition until a change must be active everywhere.
 pub(crate) const REFRESH_AGE_MS: u64 = 1_300;
+/// Age from which an instance on which others depend reads the platform itself, in milliseconds: its data then reaches the
+/// others before theirs is too old, and they need not read.
+const SOURCE_REFRESH_AGE_MS: u64 = 1_000;
 /// Time after the start at which an instance without data reads the platform itself, in milliseconds. If all instances
 /// start together, the first in order must read before it can respond.
 pub(crate) const STARTUP_SYNC_MS: u64 = 700;
@@ -73,26 +76,37 @@
 
 /// Returns the time until this instance has to read the configuration itself, in milliseconds.
 pub(crate) fn until_config_refresh_ms(feed: &Feed) -> Option<u64> {
-    let as_of_ms = feed.state.with(0, |state| state.config_as_of_ms);
-    Some(until_refresh_ms(feed, as_of_ms))
+    let (as_of_ms, is_source) = feed
+        .state
+        .with(0, |state| (state.config_as_of_ms, state.is_source));
+    Some(until_refresh_ms(feed, as_of_ms, is_source))
 }
 
 /// Returns the time until this instance has to read the list of servers itself, in milliseconds; not before it could
 /// refresh the configuration, so that an outage of the platform costs one call at a time.
 pub(crate) fn until_server_refresh_ms(feed: &Feed) -> Option<u64> {
-    let (config_ms, servers_ms) = feed
-        .state
-        .with(0, |state| (state.config_as_of_ms, state.servers_as_of_ms));
-    Some(if until_refresh_ms(feed, config_ms) == 0 {
+    let (config_ms, servers_ms, is_source) = feed.state.with(0, |state| {
+        (
+            state.config_as_of_ms,
+            state.servers_as_of_ms,
+            state.is_source,
+        )
+    });
+    Some(if until_refresh_ms(feed, config_ms, is_source) == 0 {
         CONFIG_FIRST_MS
     } else {
-        until_refresh_ms(feed, servers_ms)
+        until_refresh_ms(feed, servers_ms, is_source)
     })
 }
 
-fn until_refresh_ms(feed: &Feed, as_of_ms: Option<u64>) -> u64 {
+fn until_refresh_ms(feed: &Feed, as_of_ms: Option<u64>, is_source: bool) -> u64 {
+    let age_ms = if is_source {
+        SOURCE_REFRESH_AGE_MS
+    } else {
+        REFRESH_AGE_MS
+    };
     match as_of_ms {
-        Some(as_of_ms) => (as_of_ms + REFRESH_AGE_MS).saturating_sub(feed.now_ms()),
+        Some(as_of_ms) => (as_of_ms + age_ms).saturating_sub(feed.now_ms()),
         None => STARTUP_SYNC_MS.saturating_sub(feed.uptime_ms()),
     }
 }
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -71,6 +71,8 @@
     pub(crate) roster: Roster,
     /// View of the roster; rebuilt with each change.
     pub(crate) view: Arc<View>,
+    /// Whether other instances get changes from this one; recomputed with each change of the view.
+    pub(crate) is_source: bool,
     /// Digest of the roster; recomputed with each change.
     pub(crate) digest: u64,
     /// Digest of the roster's servers; recomputed with each change.
--- a/crates/feed/tests/propagation.rs
+++ b/crates/feed/tests/propagation.rs
@@ -154,3 +154,22 @@
     // One call of each instance at the start, and two readers with three lists for 20 s.
     assert!(outcome.store_calls < 350, "{} calls", outcome.store_calls);
 }
+
+/// While the first reader was cut off, each of the others read the store for itself, as often as its data became too old.
+#[test]
+fn change_readers_cut_off_reads_little() {
+    let mut store_calls = 0;
+    for seed in 0..10 {
+        let cut = Fault {
+            kind: FaultKind::Cut,
+            at_ms: 500,
+            for_ms: 10_000,
+            instances: selected(seed, 41, 26),
+        };
+        let outcome = play(&scenario(seed as u64, 41, &[cut]));
+        assert_eq!(outcome.violations, [], "seed {seed}");
+        store_calls += outcome.store_calls;
+    }
+    // Most are the calls of those that are cut off, each for itself.
+    assert!(store_calls < 5_000, "{store_calls} calls");
+}
