Find free ports without binding them

Tests of the daemon failed seldom beside load: `Address already in use`, and then a wait of 20 s for the instance (known red, not traced who held the port).

Cause: a port was found free by binding it and closing the listener. A process that another thread was just starting had inherited the listener, and held the port until it ran its program. Ruled out: a port given out twice (one counter), and ephemeral ports (the ranges lie below).

Change: a port is free if a connection to it is refused.

--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpStream},
     sync::atomic::{AtomicU16, Ordering},
 };
 
@@ -28,7 +28,10 @@
         }
     }
 
-    /// Finds a loopback address that can be bound and that this range has not returned before.
+    /// Finds a loopback address at which nothing listens and that this range has not returned before.
+    ///
+    /// It isn't bound to find out: a process that is just being started by another thread would inherit the listener and
+    /// hold the port for a moment after it was closed here.
     ///
     /// # Errors
     ///
@@ -40,7 +43,8 @@
             let attempt = u32::from(self.attempts.fetch_add(1, Ordering::SeqCst));
             let port = self.first + ((offset + attempt) % count) as u16;
             let address = SocketAddr::from(([127, 0, 0, 1], port));
-            if TcpListener::bind(address).is_ok() {
+            let connected = TcpStream::connect(address);
+            if connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
                 return Ok(address);
             }
         }
