Let instances that select servers alone retry again

With `"policy": "local"` no request was tried again since retries cost credit: credit was issued only on the way to a pool's owner. Found by reading.

Change: credit is issued before the policy is looked at, once for a request, and an instance that selects servers alone keeps it. Test: retry_with_local_policy, 40 requests at the servers for 40 of callers without the change although one of the two servers failed all of them.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -67,18 +67,22 @@
         return Err(closed_refusal(&closed));
     }
     request.exclude.extend(closed.names);
+    let mut credit = if request.is_first {
+        Credit::issue(node, &request.service)
+    } else {
+        Credit::none(node, &request.service)
+    };
     for _ in 0..CLOSED_GRANTS_MAX {
         let grant = if node.settings.uses_permits {
-            acquire_from_pools(node, &request).await?
+            acquire_from_pools(node, &request, &mut credit).await?
         } else {
+            credit.keep();
             local_choice::choose_server(node, &request)?
         };
         let Some(reason) = server_closed_reason(node, &grant.server) else {
             return Ok(grant);
         };
         request.exclude.push(grant.server.clone());
-        // Credit is issued once for a request.
-        request.is_first = false;
         // The owner reads the list itself.
         let is_leaving = reason == ClosedReason::Leaving;
         release_slot(node, unused_slot(grant, is_leaving));
@@ -109,7 +113,11 @@
 
 /// Requests a slot from the nearest pools without queueing, then queues at the nearest one. If the service has only one
 /// pool, the request may queue there at once.
-async fn acquire_from_pools(node: &Arc<Node>, request: &AcquireRequest) -> Result<Grant, Refusal> {
+async fn acquire_from_pools(
+    node: &Arc<Node>,
+    request: &AcquireRequest,
+    credit: &mut Credit,
+) -> Result<Grant, Refusal> {
     let view = node.view.load_full();
     let own_areas = [node.settings.data_centre.as_str(), node.settings.region()];
     let pools = pool_areas(&view, &request.service, &own_areas);
@@ -121,20 +129,15 @@
         exclude: request.exclude.iter().cloned().chain(unreachable).collect(),
         ..request.clone()
     };
-    let mut credit = if request.is_first {
-        Credit::issue(node, &request.service)
-    } else {
-        Credit::none(node, &request.service)
-    };
     if pools.len() > 1 {
         for pool in pools.iter().take(POOLS_MAX) {
-            let result = request_from_pool(node, &view, pool, &request, &mut credit, false).await;
+            let result = request_from_pool(node, &view, pool, &request, credit, false).await;
             if result.is_ok() {
                 return result;
             }
         }
     }
-    request_from_pool(node, &view, nearest, &request, &mut credit, true).await
+    request_from_pool(node, &view, nearest, &request, credit, true).await
 }
 
 /// Requests a slot from the pool's owner, then from the next in order, then chooses a server locally.
--- a/crates/daemon/src/commands/credit.rs
+++ b/crates/daemon/src/commands/credit.rs
@@ -53,6 +53,20 @@
         std::mem::take(&mut self.milli)
     }
 
+    /// Keeps the credit at this instance, for retries without an owner.
+    pub(crate) fn keep(&mut self) {
+        let milli = self.take();
+        if milli == 0 {
+            return;
+        }
+        let now_ms = self.node.now_ms();
+        let hash = shard_hash(&self.service.as_str());
+        self.node.credit_accounts.with(hash, |accounts| {
+            let account = accounts.entry(self.service.clone()).or_default();
+            add_credit(&mut account.budget, milli, now_ms);
+        });
+    }
+
     /// Puts credit back that is known not to have left this instance.
     pub(crate) fn put_back(&mut self, milli: u64) {
         self.milli += milli;
@@ -61,15 +75,7 @@
 
 impl Drop for Credit {
     fn drop(&mut self) {
-        if self.milli == 0 {
-            return;
-        }
-        let now_ms = self.node.now_ms();
-        let hash = shard_hash(&self.service.as_str());
-        self.node.credit_accounts.with(hash, |accounts| {
-            let account = accounts.entry(self.service.clone()).or_default();
-            add_credit(&mut account.budget, self.milli, now_ms);
-        });
+        self.keep();
     }
 }
 
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -57,6 +57,25 @@
     assert_eq!(cluster.send_order(0, "first").await.status, 200);
 }
 
+/// An instance that selects servers alone never retried, since nothing issued the credit for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_with_local_policy() {
+    let mut cluster = Cluster::new("local", 0).await;
+    cluster.start_process_with_policy("local").await;
+    cluster.publish_members();
+    wait_ready(cluster.processes[0].admin).await;
+    cluster.backends[0].update_knobs(|knobs| knobs.gray = GrayFault::Errors);
+    let caller = cluster.processes[0].caller;
+    for number in 0..40 {
+        let id = format!("l{number}");
+        let response = send(caller, Method::GET, "/orders", &[("x-bench-id", &id)], "").await;
+        response.expect("a response");
+    }
+    let backends = cluster.backends.iter();
+    let arrivals: usize = backends.map(|backend| backend.arrivals().len()).sum();
+    assert!(arrivals > 40, "{arrivals} requests at the servers");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_repeat_at_other_instance() {
     let cluster = Cluster::new("repeat", 2).await;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -129,6 +129,11 @@
 
     /// Starts one more instance, which the member list doesn't have yet.
     pub(crate) async fn start_process(&mut self) {
+        self.start_process_with_policy("permits").await;
+    }
+
+    /// Starts one more instance, which selects backend servers by that policy.
+    pub(crate) async fn start_process_with_policy(&mut self, policy: &str) {
         let name = format!("i{}", self.processes.len());
         let (caller, rpc, admin) = (free_address(), free_address(), free_address());
         let platform_proxy = FaultProxy::new(self.platform.address)
@@ -146,6 +151,7 @@
                 { "name": "finance", "token": "finance-token" },
             ],
             "drain_ms": 200,
+            "policy": policy,
         });
         let file = self.dir.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("a settings file");
