soak: let servers say that they leave before their records do

The check on answers that say that a server leaves could not fail: the server's record came at the same moment. Now the record comes three times the drawn duration later, 0.9 to 7.5 s.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -65,6 +65,8 @@
 pub(crate) struct Observations {
     pub(crate) outcomes: Vec<RequestOutcome>,
     pub(crate) disruptions: Vec<Disruption>,
+    /// Index of each server that says in its answers that it leaves, and since when it does.
+    pub(crate) draining_by_answer: Vec<(usize, Instant)>,
     /// Index of each draining server, and when its `draining` record was in the store.
     pub(crate) draining: Vec<(usize, Instant)>,
 }
--- a/crates/soak/src/commands/faults.rs
+++ b/crates/soak/src/commands/faults.rs
@@ -20,6 +20,8 @@
 const MAX_GAP_MS: u64 = 900;
 /// Range of a disruption's duration, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..2_500;
+/// Time from a server's first answer that says that it leaves to its record, as a multiple of the drawn duration.
+const RECORD_LAG: u32 = 3;
 /// Time in which a process must exit after a signal, in milliseconds; `stop_s` in its settings is four seconds.
 const STOP_TIMEOUT_MS: u64 = 5_000;
 
@@ -329,17 +331,24 @@
     Ok(())
 }
 
-/// Announces that a server is draining, lets it serve for `duration`, and deletes its record; then an outdated `ready`
-/// record arrives late and is deleted again.
+/// Announces that a server is draining, first in its answers alone and then in its record, lets it serve for `duration`, and
+/// deletes its record; then an outdated `ready` record arrives late and is deleted again.
 async fn drain_server(cluster: &Cluster, server: usize, duration: Duration) -> io::Result<()> {
-    record_disruption(cluster, "server leaves", Some(server), duration);
-    cluster.put_server(server, "draining", 2);
+    let record_lag = duration * RECORD_LAG;
+    record_disruption(
+        cluster,
+        "server leaves",
+        Some(server),
+        record_lag + duration,
+    );
     let backend = &cluster.servers[server].backend;
     backend.update_knobs(|knobs| knobs.draining = true);
-    cluster
-        .observations()
-        .draining
-        .push((server, Instant::now()));
+    let drain = (server, Instant::now());
+    cluster.observations().draining_by_answer.push(drain);
+    sleep(record_lag).await;
+    cluster.put_server(server, "draining", 2);
+    let drain = (server, Instant::now());
+    cluster.observations().draining.push(drain);
     sleep(duration).await;
     cluster.put_server(server, "gone", 3);
     // An earlier write that the store executes late.
--- a/crates/soak/src/queries/notices.rs
+++ b/crates/soak/src/queries/notices.rs
@@ -28,7 +28,7 @@
 ) -> Vec<String> {
     let outcomes = outcomes_by_id(observations);
     let mut violations = Vec::new();
-    for &(server, since) in &observations.draining {
+    for &(server, since) in &observations.draining_by_answer {
         let name = format!("b{server}");
         // By instance: when it had first passed on an answer that said so.
         let mut told_at: HashMap<usize, Instant> = HashMap::new();
