--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -64,16 +64,19 @@
     cluster.start_process_with_policy("local").await;
     cluster.publish_members();
     wait_ready(cluster.processes[0].admin).await;
-    cluster.backends[0].update_knobs(|knobs| knobs.gray = GrayFault::Errors);
     let caller = cluster.processes[0].caller;
-    for number in 0..40 {
+    for number in 0..80 {
+        // The requests before that issue the credit of several retries.
+        if number == 40 {
+            cluster.backends[0].update_knobs(|knobs| knobs.gray = GrayFault::Errors);
+        }
         let id = format!("l{number}");
         let response = send(caller, Method::GET, "/orders", &[("x-bench-id", &id)], "").await;
         response.expect("a response");
     }
     let backends = cluster.backends.iter();
     let arrivals: usize = backends.map(|backend| backend.arrivals().len()).sum();
-    assert!(arrivals > 40, "{arrivals} requests at the servers");
+    assert!(arrivals > 80, "{arrivals} requests at the servers");
 }
 
 #[tokio::test(flavor = "multi_thread")]
