--- a/review/standin/mod.rs
+++ b/review/standin/mod.rs
@@ -220,7 +220,8 @@
         self.put("keyed.servers", entry.id, Some(&record));
     }
 
-    /// Executes the operator's write of a configuration with the safe route `/read/` and the unsafe route `/order/`.
+    /// Executes the operator's write of a configuration with the routes `/read/` (safe), `/order/` (unsafe) and
+    /// `/photo/` (upload).
     pub fn put_config(&self, version: u32, service: &str, timeout_s: f64) {
         let route = |prefix: &str, kind: &str| {
             format!(
@@ -230,12 +231,13 @@
             )
         };
         let document = format!(
-            "{{\"version\":\"r{version}\",\"routes\":[{},{}],\"services\":[{{\"name\":\"{service}\",\
+            "{{\"version\":\"r{version}\",\"routes\":[{},{},{}],\"services\":[{{\"name\":\"{service}\",\
              \"health_path\":\"/health\",\"max_connections\":423,\"protocol\":\"h1\",\"tls\":false}}],\
              \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,\
              \"idle_timeout_s\":15}}}}",
             route("/read/", "safe"),
-            route("/order/", "unsafe")
+            route("/order/", "unsafe"),
+            route("/photo/", "upload")
         );
         self.put("keyed.op", "config", Some(&document));
     }
@@ -640,21 +642,33 @@
     path: &str,
     request_id: &str,
     deadline_ms: u64,
+) -> io::Result<(u16, Vec<u8>)> {
+    request_with_body(address, method, path, request_id, deadline_ms, &[])
+}
+
+/// Sends a request on a new connection; returns the status and the body of a complete answer.
+pub fn request_with_body(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    request_id: &str,
+    deadline_ms: u64,
+    body: &[u8],
 ) -> io::Result<(u16, Vec<u8>)> {
     let time_limit = Duration::from_millis(deadline_ms + 500);
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(time_limit))?;
-    let length = if method == "GET" {
-        ""
-    } else {
-        "Content-Length: 0\r\n"
+    let length = match method {
+        "GET" => String::new(),
+        _ => format!("Content-Length: {}\r\n", body.len()),
     };
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\nDeadline-Ms: {deadline_ms}\r\n\
          {length}\r\n"
     );
     stream.write_all(text.as_bytes())?;
+    stream.write_all(body)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let head = read_head(&mut reader)?;
     let body = read_body(&mut reader, &head)?;
