Add client accounts to the configuration, and refuse requests without a valid key

The document has accounts with digests of keys, priority and quota, and routes may be public. The instance looks the key up by its digest, names the account to the server in place of the key, and answers 401, or 503 while its configuration may be out of date. Without accounts nothing changes. Permit requests carry the account and its priority, which is compared before the route's. Settings hold the terms of revocation and of quotas.

--- a/crates/bench/src/example.rs
+++ b/crates/bench/src/example.rs
@@ -114,6 +114,7 @@
     let route = convert::simple_route;
     DocumentJson {
         limits: None,
+        accounts: Vec::new(),
         services: vec![service("designs"), service("deposits")],
         routes: vec![
             route("/designs", &[], "designs", RequestKind::Safe),
--- a/crates/bench/src/topology.rs
+++ b/crates/bench/src/topology.rs
@@ -122,6 +122,7 @@
         });
         DocumentJson {
             limits: None,
+            accounts: Vec::new(),
             services: self.services.iter().map(service_json).collect(),
             routes: routes.collect(),
         }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -2,6 +2,9 @@
 //!
 //! A document is stored as it was accepted; all other code borrows it.
 
+/// SHA-256 of an API key. Instances store and pass on digests only, so that a key can't leak from a log or a message.
+pub type ApiKeyDigest = [u8; 32];
+
 /// Trade-off of the outlier detector between missed detections and false ejections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DetectionMode {
@@ -73,6 +76,35 @@
     pub idle_timeout_ms: u64,
 }
 
+/// A client account: who may send requests, with which priority and how many.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Account {
+    /// Unique name of 1 to 64 characters from a-z, 0-9 and `-`; backend servers get it with each request.
+    pub name: String,
+    /// Digests of the account's API keys; an account without keys can't send requests.
+    pub key_digests: Vec<ApiKeyDigest>,
+    /// Priority of its requests when slots are scarce, compared before that of the route; 0 is the most urgent.
+    pub priority: u32,
+    /// Requests that the account may send to all instances together, in thousandths of a request a second; 0 for no
+    /// limit.
+    pub rate_milli: u64,
+    /// Requests that it may send at once beyond the rate.
+    pub burst_requests: u64,
+}
+
+impl Account {
+    /// Creates an account of the highest priority, without keys and without a limit.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            key_digests: Vec::new(),
+            priority: 0,
+            rate_milli: 0,
+            burst_requests: 0,
+        }
+    }
+}
+
 /// Routes the requests below a path prefix to one service or, by weight, to several.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Route {
@@ -96,6 +128,8 @@
     pub priority: u32,
     /// Maximum number of backend servers that one request is sent to.
     pub attempts_max: u32,
+    /// Whether requests need no API key; without effect if the document has no accounts.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -117,6 +151,7 @@
             target_ms: None,
             priority: 0,
             attempts_max: Self::ATTEMPTS_MAX,
+            is_public: false,
         }
     }
 }
@@ -130,6 +165,8 @@
     pub routes: Vec<Route>,
     /// Limits on callers; none applies the limits of the services and the built-in ones.
     pub limits: Option<CallerLimits>,
+    /// Client accounts, in the operator's order. Without any, requests need no API key.
+    pub accounts: Vec<Account>,
 }
 
 /// One validation error of a document.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,11 +11,11 @@
 
 pub use crate::{
     document::{
-        CallerLimits, Destination, DetectionMode, Document, RequestKind, Route, Service,
-        ValidationError,
+        Account, ApiKeyDigest, CallerLimits, Destination, DetectionMode, Document, RequestKind,
+        Route, Service, ValidationError,
     },
     index::DocumentIndex,
-    patch::{DocumentPatch, RouteSpan},
+    patch::{DocumentPatch, Span},
     state::{
         AcceptedConfig, ApplyOutcome, ConfigEvent, ConfigReplica, Decision, HistoryEntry, Proposal,
     },
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -1,20 +1,20 @@
 //! The changes from one document to another.
 
-use crate::{CallerLimits, Route, Service};
+use crate::{Account, CallerLimits, Route, Service};
 
-/// Routes taken from the base document, and new ones that follow them.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct RouteSpan {
-    /// Position of the first route taken.
+/// Entries of a list that are taken from the base document, and new ones that follow them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Span<Item> {
+    /// Position of the first entry taken.
     pub kept_from: usize,
-    /// Number of routes taken.
+    /// Number of entries taken.
     pub kept: usize,
-    /// New routes.
-    pub added: Vec<Route>,
+    /// New entries.
+    pub added: Vec<Item>,
 }
 
-/// The changes from a base document to another. Services and limits are few and complete; of the routes only the new ones
-/// are there.
+/// The changes from a base document to another. Services and limits are few and complete; of the routes and accounts only
+/// the new ones are there.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct DocumentPatch {
     /// All services of the result.
@@ -22,5 +22,7 @@
     /// Limits on callers of the result.
     pub limits: Option<CallerLimits>,
     /// Routes of the result, in order.
-    pub routes: Vec<RouteSpan>,
+    pub routes: Vec<Span<Route>>,
+    /// Accounts of the result, in order.
+    pub accounts: Vec<Span<Account>>,
 }
--- a/crates/config/src/queries/digest.rs
+++ b/crates/config/src/queries/digest.rs
@@ -3,12 +3,12 @@
 //! Invariant: equal documents have the same canonical text, regardless of how they were encoded.
 
 use {
-    crate::{DetectionMode, Document, Route, Service},
+    crate::{Account, DetectionMode, Document, Route, Service},
     sha2::{Digest, Sha256},
     std::fmt::Write,
 };
 
-/// Returns the document as text with one line per service and route.
+/// Returns the document as text with one line per service, route and account.
 pub fn canonical_text(document: &Document) -> String {
     let mut text = String::new();
     for service in &document.services {
@@ -28,6 +28,9 @@
             limits.idle_timeout_ms
         );
     }
+    for account in &document.accounts {
+        text.push_str(&account_line(account));
+    }
     text
 }
 
@@ -68,8 +71,8 @@
             destination.service, destination.weight
         );
     }
-    format!(
-        "route {:?} {:?} {:?} parts={} methods={} timeout_ms={:?} target_ms={:?} priority={} attempts_max={}\n",
+    let mut line = format!(
+        "route {:?} {:?} {:?} parts={} methods={} timeout_ms={:?} target_ms={:?} priority={} attempts_max={}",
         route.host,
         route.prefix,
         route.kind,
@@ -79,5 +82,23 @@
         route.target_ms,
         route.priority,
         route.attempts_max
+    );
+    // Documents without public routes keep the text, and so the digest, that they had before routes could be public.
+    if route.is_public {
+        line.push_str(" public");
+    }
+    line.push('\n');
+    line
+}
+
+fn account_line(account: &Account) -> String {
+    let keys: Vec<String> = account.key_digests.iter().map(hex::encode).collect();
+    format!(
+        "account {:?} keys={} priority={} rate_milli={} burst_requests={}\n",
+        account.name,
+        keys.join(","),
+        account.priority,
+        account.rate_milli,
+        account.burst_requests
     )
 }
--- a/crates/config/src/queries/validate.rs
+++ b/crates/config/src/queries/validate.rs
@@ -3,7 +3,7 @@
 //! Invariant: one pass reports every error; an empty result means that the document may be proposed.
 
 use {
-    crate::{CallerLimits, Document, Route, Service, ValidationError},
+    crate::{Account, ApiKeyDigest, CallerLimits, Document, Route, Service, ValidationError},
     std::collections::HashSet,
 };
 
@@ -25,6 +25,10 @@
 const HEADER_MIN_BYTES: u64 = 1 << 10;
 /// Upper bound of the maximum size of a header section, in bytes.
 const HEADER_MAX_BYTES: u64 = 1 << 20;
+/// Largest rate of an account, in thousandths of a request a second.
+const RATE_MAX_MILLI: u64 = 1_000_000_000_000;
+/// Largest burst of an account, in requests.
+const BURST_MAX_REQUESTS: u64 = 1_000_000_000;
 /// HTTP methods that a route may list.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
@@ -39,6 +43,7 @@
     if let Some(limits) = &document.limits {
         validate_caller_limits(limits, &mut errors);
     }
+    validate_accounts(&document.accounts, &mut errors);
     errors
 }
 
@@ -234,3 +239,53 @@
         "a timeout lies between 1 and 600000 ms",
     );
 }
+
+fn validate_accounts(accounts: &[Account], errors: &mut Vec<ValidationError>) {
+    let mut names = HashSet::new();
+    let mut digests = HashSet::new();
+    for (index, account) in accounts.iter().enumerate() {
+        let path = format!("$.accounts[{index}]");
+        let mut require = |is_valid: bool, field: &str, message: &str| {
+            if !is_valid {
+                add_error(errors, &format!("{path}.{field}"), message);
+            }
+        };
+        require(
+            is_valid_name(&account.name),
+            "name",
+            "a name has 1 to 64 characters of a-z, 0-9 and -",
+        );
+        require(
+            names.insert(account.name.as_str()),
+            "name",
+            "another account has the same name",
+        );
+        require(
+            account.priority <= PRIORITY_MAX,
+            "priority",
+            "a priority is at most 1000",
+        );
+        require(
+            account.rate_milli <= RATE_MAX_MILLI,
+            "rate_per_s",
+            "a rate is at most 1000000000 requests a second",
+        );
+        require(
+            account.burst_requests <= BURST_MAX_REQUESTS,
+            "burst",
+            "a burst has at most 1000000000 requests",
+        );
+        for (key_index, digest) in account.key_digests.iter().enumerate() {
+            require(
+                *digest != ApiKeyDigest::default(),
+                &format!("key_digests[{key_index}]"),
+                "a digest has 64 hex digits",
+            );
+            require(
+                digests.insert(digest),
+                &format!("key_digests[{key_index}]"),
+                "the same key belongs to this or another account already",
+            );
+        }
+    }
+}
--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -217,6 +217,8 @@
                     is_current: queries::is_config_current(&node),
                     document: &active.accepted.document,
                     index: &active.index,
+                    keys: &active.keys,
+                    accepts_keys: queries::accepts_keys(&node),
                 };
                 handle_request(&proxy, routing, incoming).await
             })
--- a/crates/daemon/src/commands/fold_config.rs
+++ b/crates/daemon/src/commands/fold_config.rs
@@ -5,6 +5,7 @@
         node::{ActiveConfig, AppliedRecord, ConfigState},
         Node, Stage,
     },
+    account::KeyIndex,
     config::{commands, queries, ApplyOutcome, DocumentIndex},
     log::{info, warn},
     serde_json::json,
@@ -111,6 +112,7 @@
         if accepted.version > active_version {
             node.active_config.store(Some(Arc::new(ActiveConfig {
                 index: DocumentIndex::new(&accepted.document),
+                keys: KeyIndex::new(&accepted.document.accounts),
                 accepted: accepted.clone(),
             })));
         }
--- a/crates/daemon/src/commands/permit_acquire.rs
+++ b/crates/daemon/src/commands/permit_acquire.rs
@@ -17,7 +17,7 @@
         time::{Duration, Instant},
     },
     tokio::{sync::Notify, time::timeout_at},
-    types::{PermitId, ServerIndex},
+    types::{PermitId, Priority, ServerIndex},
     wire::generated::{PermitRequest, PermitResponse, PermitVerdict},
 };
 
@@ -94,7 +94,9 @@
         credit_milli: request.credit_milli,
         idempotent: request.idempotent,
         deadline_ms: now_ms + request.remaining_ms,
-        priority: request.priority,
+        account: request.account.as_deref(),
+        priority: Priority::new(request.priority)
+            .with_account(request.account_priority.unwrap_or_default()),
         data_centre: &request.data_centre,
         body_bytes: request.body_bytes,
         may_queue: request.may_queue,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{clock::BootClock, commands::PassedTime, metrics::Metrics, Settings},
+    account::KeyIndex,
     arc_swap::{ArcSwap, ArcSwapOption},
     claim::{ClaimReplica, KeyTable},
     config::{AcceptedConfig, ApplyOutcome, ConfigReplica, DocumentIndex},
@@ -67,11 +68,12 @@
     pub(crate) gap_since_ms: Option<u64>,
 }
 
-/// The active configuration version, with the lookup index of its document.
+/// The active configuration version, with the lookup indices of its document.
 #[derive(Debug)]
 pub(crate) struct ActiveConfig {
     pub(crate) accepted: AcceptedConfig,
     pub(crate) index: DocumentIndex,
+    pub(crate) keys: KeyIndex,
 }
 
 /// Client of a peer, connected once by the first task that needs it.
--- a/crates/daemon/src/queries.rs
+++ b/crates/daemon/src/queries.rs
@@ -10,8 +10,8 @@
 pub(crate) use self::{
     claim_responses::{decode_stored_response, encode_claim_response},
     config::{
-        authenticate, config_response, config_view, encoded_patch, history, is_config_current,
-        whole_config,
+        accepts_keys, authenticate, config_response, config_view, encoded_patch, history,
+        is_config_current, whole_config,
     },
     notices::{closed_servers, limited_servers, server_closed_reason, ClosedServers},
     peers::{candidate_owners, is_in_backoff, known_instances},
--- a/crates/daemon/src/queries/config.rs
+++ b/crates/daemon/src/queries/config.rs
@@ -3,7 +3,8 @@
 use {
     crate::{Node, Settings},
     config::{queries, AcceptedConfig, Document, Proposal},
-    feed::ConfigPatch,
+    feed::{ConfigPatch, Feed},
+    std::sync::Arc,
     wire::{
         convert,
         generated::{ConfigResponse, ConfigView, HistoryJson, ProposalSummary},
@@ -55,6 +56,14 @@
         .is_none_or(|feed| feed::queries::is_config_current(feed))
 }
 
+/// Returns whether API keys are accepted. With strict revocation they are not while the configuration has not been
+/// confirmed for so long that a revoked key could still be in it.
+pub(crate) fn accepts_keys(node: &Node) -> bool {
+    let is_confirmed =
+        |feed: &Arc<Feed>| feed::queries::config_age_ms(feed) <= node.settings.revocation_ms;
+    !node.settings.has_strict_revocation || node.feed.get().is_none_or(is_confirmed)
+}
+
 /// Returns the configuration and the open proposals for operators.
 pub(crate) fn config_view(node: &Node) -> ConfigView {
     node.config.with(0, |state| {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -29,6 +29,14 @@
 const RETRY_SLACK: u32 = 20;
 /// Default length of the window over which retries are counted, in milliseconds.
 const RETRY_WINDOW_MS: u64 = 10_000;
+/// Default of `revocation_ms`.
+const REVOCATION_MS: u64 = 5_000;
+/// Default of `quota_window_ms`.
+const QUOTA_WINDOW_MS: u64 = 5_000;
+/// Default of `quota_tolerance_permille`.
+const QUOTA_TOLERANCE_PERMILLE: u32 = 100;
+/// Default of `quota_slack`.
+const QUOTA_SLACK: u32 = 20;
 /// Maximum processor share, in thousandths of a core.
 const CAPACITY_MAX_PERMILLE: u32 = 1_000_000;
 /// Minimum length of a token, in characters.
@@ -103,6 +111,16 @@
     pub retry_slack: u32,
     /// Length of the window over which retries are counted, in milliseconds.
     pub retry_window_ms: u64,
+    /// Whether API keys are refused while the configuration has not been confirmed for `revocation_ms`.
+    pub has_strict_revocation: bool,
+    /// Time for which the configuration may be unconfirmed with strict revocation, in milliseconds.
+    pub revocation_ms: u64,
+    /// Window over which the requests of a client account are counted, in milliseconds.
+    pub quota_window_ms: u64,
+    /// Share of an account's quota by which a window's requests may exceed it, in thousandths.
+    pub quota_tolerance_permille: u32,
+    /// Requests of an account that a window may have in addition.
+    pub quota_slack: u32,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -136,6 +154,11 @@
             retry_percent: RETRY_PERCENT,
             retry_slack: RETRY_SLACK,
             retry_window_ms: RETRY_WINDOW_MS,
+            has_strict_revocation: false,
+            revocation_ms: REVOCATION_MS,
+            quota_window_ms: QUOTA_WINDOW_MS,
+            quota_tolerance_permille: QUOTA_TOLERANCE_PERMILLE,
+            quota_slack: QUOTA_SLACK,
             log_level: log::LevelFilter::Info,
         }
     }
@@ -192,6 +215,17 @@
             retry_window_ms: document
                 .retry_window_s
                 .map_or(RETRY_WINDOW_MS, |s| u64::from(to_thousandths(s))),
+            has_strict_revocation: document.strict_revocation.unwrap_or_default(),
+            revocation_ms: document
+                .revocation_s
+                .map_or(REVOCATION_MS, |s| u64::from(to_thousandths(s))),
+            quota_window_ms: document
+                .quota_window_s
+                .map_or(QUOTA_WINDOW_MS, |s| u64::from(to_thousandths(s))),
+            quota_tolerance_permille: document
+                .quota_tolerance
+                .map_or(QUOTA_TOLERANCE_PERMILLE, to_thousandths),
+            quota_slack: document.quota_slack.unwrap_or(QUOTA_SLACK),
             instance: document.instance,
             data_centre: document.data_centre,
         };
@@ -312,6 +346,21 @@
             "$.retry_window_s",
             "expected 1 to 60",
         );
+        self.require(
+            (1_000..=600_000).contains(&settings.revocation_ms),
+            "$.revocation_s",
+            "expected 1 to 600",
+        );
+        self.require(
+            (1_000..=60_000).contains(&settings.quota_window_ms),
+            "$.quota_window_s",
+            "expected 1 to 60",
+        );
+        self.require(
+            settings.quota_tolerance_permille <= 1_000,
+            "$.quota_tolerance",
+            "expected 0 to 1",
+        );
         for (index, principal) in settings.principals.iter().enumerate() {
             let path = format!("$.principals[{index}]");
             let is_long_enough = principal.token.chars().count() >= TOKEN_MIN_CHARS;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -217,6 +217,7 @@
     let route = |methods: &[&str], kind| convert::simple_route("/orders", methods, "orders", kind);
     DocumentJson {
         limits: None,
+        accounts: Vec::new(),
         services: vec![ServiceJson {
             name: "orders".into(),
             detection: DetectionJson::Fast,
--- a/crates/entry/src/commands/attempts.rs
+++ b/crates/entry/src/commands/attempts.rs
@@ -135,6 +135,7 @@
             service: plan.service.clone(),
             idempotent: plan.idempotent,
             deadline: plan.deadline,
+            account: plan.account.clone(),
             priority: plan.priority,
             body_bytes: self.context.body.buffered_bytes(),
             is_first: self.slots_requested == 1,
--- a/crates/entry/src/conventions.rs
+++ b/crates/entry/src/conventions.rs
@@ -13,6 +13,8 @@
     pub deadline: HeaderName,
     /// Idempotency key, if callers send keys.
     pub idempotency_key: Option<HeaderName>,
+    /// Name of the client account that a request belongs to, for the backend server; whatever the caller sends is replaced.
+    pub account: HeaderName,
     /// Present on a response if the request was not run.
     pub not_run: HeaderName,
     /// `true` or `1` on the responses of a leaving server, if servers send such a header.
@@ -37,6 +39,7 @@
             request_id: HeaderName::from_static("x-request-id"),
             deadline: HeaderName::from_static("x-deadline-ms"),
             idempotency_key: Some(HeaderName::from_static("idempotency-key")),
+            account: HeaderName::from_static("catkinhitch-account"),
             not_run: HeaderName::from_static("x-request-shed"),
             leaving: Some(HeaderName::from_static("x-draining")),
             limit: None,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -11,7 +11,7 @@
         time::{Duration, Instant},
     },
     tokio::{sync::watch, time::sleep_until},
-    types::ResultCode,
+    types::{Priority, ResultCode},
 };
 
 /// Outcome of an attempt, as the outlier detector uses it.
@@ -42,8 +42,10 @@
     pub idempotent: bool,
     /// When the request must be finished.
     pub deadline: Instant,
-    /// Priority when slots are scarce; 0 is the highest.
-    pub priority: u32,
+    /// Client account that the request belongs to, if any.
+    pub account: Option<String>,
+    /// Priority when slots are scarce.
+    pub priority: Priority,
     /// Size of the request body in bytes; for a streamed body, the size of the largest one that is buffered.
     pub body_bytes: u64,
     /// Whether this is the first slot that is acquired for the request.
--- a/crates/entry/src/queries/classify.rs
+++ b/crates/entry/src/queries/classify.rs
@@ -4,10 +4,14 @@
     crate::{
         HeaderConventions, IdempotencyKey, IncomingRequest, RequestHead, RequestPlan, RoutingConfig,
     },
-    config::{queries, Route, Service},
-    hyper::{header::HOST, HeaderMap},
+    account::{queries::admit, Admission, AuthorizationTerms},
+    config::{queries, Account, Route, Service},
+    hyper::{
+        header::{AUTHORIZATION, HOST},
+        HeaderMap,
+    },
     std::time::{Duration, Instant},
-    types::{shard_hash, ResultCode},
+    types::{shard_hash, Priority, ResultCode},
     wire::key_digest,
 };
 
@@ -48,6 +52,7 @@
     } else {
         ResultCode::OldConfiguration
     })?;
+    let account = find_account(config, &incoming.head.headers, route)?;
     let destination =
         queries::pick_destination(route, shard_hash(&request_id)).ok_or(ResultCode::NoRoute)?;
     let service =
@@ -79,7 +84,10 @@
             route,
             received,
         )?,
-        priority: route.priority,
+        account: account.map(|account| account.name.clone()),
+        has_accounts: !document.accounts.is_empty(),
+        priority: Priority::new(route.priority)
+            .with_account(account.map_or(0, |account| account.priority)),
         attempts_max: route.attempts_max,
         received,
         max_body_bytes,
@@ -87,6 +95,32 @@
     })
 }
 
+/// Borrows the client account of a request; `None` if its route is public or there are no accounts.
+fn find_account<'a>(
+    config: RoutingConfig<'a>,
+    headers: &HeaderMap,
+    route: &Route,
+) -> Result<Option<&'a Account>, ResultCode> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    // With several values it isn't known which one a server would have taken.
+    let authorization = match (values.next(), values.next()) {
+        (Some(value), None) => value.to_str().ok(),
+        _ => None,
+    };
+    let terms = AuthorizationTerms {
+        authorization,
+        is_public: route.is_public,
+        is_current: config.is_current,
+        accepts_keys: config.accepts_keys,
+    };
+    match admit(&config.document.accounts, config.keys, terms) {
+        Admission::Anonymous => Ok(None),
+        Admission::Account(account) => Ok(Some(account)),
+        Admission::Unknown => Err(ResultCode::UnknownKey),
+        Admission::Unconfirmed => Err(ResultCode::KeysUnconfirmed),
+    }
+}
+
 /// Returns the requested host in lower case and without the port.
 fn host(head: &RequestHead) -> String {
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
@@ -136,7 +170,7 @@
     if text.is_empty() || text.len() > MAX_KEY_BYTES {
         return Err(ResultCode::KeyInvalid);
     }
-    let credentials = incoming.head.headers.get(hyper::header::AUTHORIZATION);
+    let credentials = incoming.head.headers.get(AUTHORIZATION);
     let credentials = credentials.map_or(&[][..], |value| value.as_bytes());
     let path = incoming
         .head
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{Grant, HeaderConventions, RequestHead, RequestPlan},
+    account::queries::bearer_key,
     hyper::{
         body::Body,
         header::{
-            HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST,
-            PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING,
-            UPGRADE,
+            HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH,
+            EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER,
+            TRANSFER_ENCODING, UPGRADE,
         },
         HeaderMap, Method, Response, StatusCode, Version,
     },
@@ -46,8 +47,8 @@
     forwarded
 }
 
-/// Returns the headers sent to a backend server: the caller's with the host, the remaining time, the request id and
-/// the target server.
+/// Returns the headers sent to a backend server: the caller's with the host, the remaining time, the request id, the
+/// target server and the client account.
 pub fn upstream_headers(
     head: &RequestHead,
     plan: &RequestPlan,
@@ -58,6 +59,9 @@
     let mut headers = without_hop_by_hop_headers(&head.headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
+    if plan.has_accounts {
+        replace_key_by_account(&mut headers, plan, conventions);
+    }
     if !headers.contains_key(HOST) {
         insert_text(&mut headers, &HOST, authority);
     }
@@ -73,6 +77,26 @@
     headers
 }
 
+/// Names the request's account instead of its API key. Callers can't name an account themselves, and no key reaches a
+/// server, not even one that a caller sends without need.
+fn replace_key_by_account(
+    headers: &mut HeaderMap,
+    plan: &RequestPlan,
+    conventions: &HeaderConventions,
+) {
+    let has_key = headers
+        .get_all(AUTHORIZATION)
+        .iter()
+        .any(|value| value.to_str().is_ok_and(|text| bearer_key(text).is_some()));
+    if has_key || plan.account.is_some() {
+        headers.remove(AUTHORIZATION);
+    }
+    headers.remove(&conventions.account);
+    if let Some(account) = &plan.account {
+        insert_text(headers, &conventions.account, account);
+    }
+}
+
 /// Inserts a header, or leaves it out if `text` is not a valid header value, which can't come from a valid request or
 /// member list.
 fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::BoxedBody,
+    account::KeyIndex,
     bytes::Bytes,
     claim::KeyDigest,
     config::{Document, DocumentIndex},
@@ -10,6 +11,7 @@
         sync::{atomic::AtomicBool, Arc, Mutex, PoisonError},
         time::Instant,
     },
+    types::Priority,
 };
 
 /// A request without its body.
@@ -47,6 +49,10 @@
     pub document: &'a Document,
     /// Index over the document.
     pub index: &'a DocumentIndex,
+    /// API keys of the document's accounts.
+    pub keys: &'a KeyIndex,
+    /// Whether API keys are accepted; not if revocation is strict and the configuration was not confirmed in time.
+    pub accepts_keys: bool,
 }
 
 /// The idempotency key of a request.
@@ -71,8 +77,12 @@
     pub key: Option<IdempotencyKey>,
     /// When the response must be complete.
     pub deadline: Instant,
-    /// Priority when slots are scarce; 0 is the highest.
-    pub priority: u32,
+    /// Client account that the request belongs to; `None` on public routes and without accounts.
+    pub account: Option<String>,
+    /// Whether the configuration has client accounts, so that API keys are not forwarded.
+    pub has_accounts: bool,
+    /// Priority when slots are scarce.
+    pub priority: Priority,
     /// Maximum number of backend servers that are sent the request.
     pub attempts_max: u32,
     /// When the request was received.
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -113,7 +113,7 @@
     *response.status_mut() = StatusCode::from_u16(code.http_status()).unwrap_or_default();
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
-    if code.http_status() == 503 {
+    if [429, 503].contains(&code.http_status()) {
         let retry_after_ms = retry_after_ms.unwrap_or_else(|| default_retry_after_ms(code));
         let value = HeaderValue::from_str(&format_seconds(retry_after_ms));
         if let Ok(value) = value {
--- a/crates/entry/tests/handle_request.rs
+++ b/crates/entry/tests/handle_request.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    account::KeyIndex,
     config::{Document, DocumentIndex},
     entry::{
         commands::handle_request, AttemptOutcome, CallerResponse, ForwardedResponse,
@@ -60,6 +61,8 @@
             is_current,
             document: &document,
             index: &DocumentIndex::new(&document),
+            keys: &KeyIndex::default(),
+            accepts_keys: true,
         };
         let request = incoming(Method::GET, &[], "");
         let response = handle_request(&fixture.proxy, config, request).await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A proxy whose slots, claims and servers are fixed, with closures in place of the pool owner and the log.
 
 use {
+    account::KeyIndex,
     bytes::Bytes,
     config::{DetectionMode, Document, DocumentIndex, RequestKind, Route, Service},
     entry::{
@@ -103,6 +104,7 @@
             route("POST", RequestKind::Unsafe),
         ],
         limits: None,
+        accounts: Vec::new(),
     }
 }
 
@@ -137,6 +139,8 @@
         is_current: true,
         document: &document,
         index: &DocumentIndex::new(&document),
+        keys: &KeyIndex::new(&document.accounts),
+        accepts_keys: true,
     };
     handle_request(&fixture.proxy, config, incoming).await
 }
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -3,12 +3,14 @@
 mod age;
 mod transfer;
 
-pub use self::age::{has_instance_list, has_server_list, is_config_current, source_age_ms};
+pub use self::age::{
+    config_age_ms, has_instance_list, has_server_list, is_config_current, source_age_ms,
+};
 
 pub(crate) use self::{
     age::{
-        as_of_ms, config_age_ms, config_as_of_ms, first_read_spread_ms, has_fresh_data,
-        is_initialized, is_small_fleet, known_instances, response_as_of_ms, superseded_as_of_ms,
+        as_of_ms, config_as_of_ms, first_read_spread_ms, has_fresh_data, is_initialized,
+        is_small_fleet, known_instances, response_as_of_ms, superseded_as_of_ms,
         until_config_refresh_ms, until_server_refresh_ms, CONFIG_LIST, REFRESH_AGE_MS, SERVER_LIST,
         STALE_AFTER_MS, STARTUP_SYNC_MS, UNKNOWN_AGE_MS,
     },
--- a/crates/feed/src/queries/age.rs
+++ b/crates/feed/src/queries/age.rs
@@ -207,7 +207,7 @@
 }
 
 /// Returns the age of the configuration, in milliseconds, as [`server_age_ms`] does for the list.
-pub(crate) fn config_age_ms(feed: &Feed) -> u64 {
+pub fn config_age_ms(feed: &Feed) -> u64 {
     stated_age_ms(feed, CONFIG_LIST)
 }
 
--- a/crates/owner/src/commands/acquire.rs
+++ b/crates/owner/src/commands/acquire.rs
@@ -5,7 +5,7 @@
     permit::{commands, queries, Lease, SelectError, SlotRequest, SpreadPolicy},
     std::sync::Arc,
     tokio::sync::Notify,
-    types::{PermitId, ServerIndex},
+    types::{PermitId, Priority, ServerIndex},
 };
 
 /// Time for which a poll of a queued request stays open at the owner before the requester has to poll again, in
@@ -35,8 +35,10 @@
     pub idempotent: bool,
     /// Deadline of the request, in milliseconds.
     pub deadline_ms: u64,
-    /// Priority; 0 is the most urgent.
-    pub priority: u32,
+    /// Client account, if the request belongs to one.
+    pub account: Option<&'a str>,
+    /// Priority.
+    pub priority: Priority,
     /// Data centre of the requester.
     pub data_centre: &'a str,
     /// Size of the request's body, in bytes.
--- a/crates/owner/tests/fleet/mod.rs
+++ b/crates/owner/tests/fleet/mod.rs
@@ -18,6 +18,7 @@
         CreditAccount, CreditTerms, FleetSize, StallDetector, ACTIVITY_INTERVAL_MS,
     },
     std::collections::{BTreeMap, VecDeque},
+    types::Priority,
 };
 
 /// Length of the retry window, in milliseconds.
@@ -395,7 +396,8 @@
             credit_milli,
             idempotent: true,
             deadline_ms: now_ms + 1_000,
-            priority: 0,
+            account: None,
+            priority: Priority::default(),
             data_centre: AREA,
             body_bytes: 0,
             may_queue: false,
--- a/crates/owner/tests/owner.rs
+++ b/crates/owner/tests/owner.rs
@@ -14,7 +14,7 @@
     },
     permit::{Standing, SPEND_MILLI},
     std::net::SocketAddr,
-    types::{PermitId, ServerIndex},
+    types::{PermitId, Priority, ServerIndex},
 };
 
 /// Slots of each server.
@@ -55,7 +55,8 @@
         credit_milli: 0,
         idempotent: true,
         deadline_ms: 1_000,
-        priority: 0,
+        account: None,
+        priority: Priority::default(),
         data_centre: "dc",
         body_bytes: 0,
         may_queue: true,
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -9,7 +9,7 @@
         collections::{HashMap, VecDeque},
         net::SocketAddr,
     },
-    types::{EntityMap, Interner, PermitId, ServerIndex},
+    types::{EntityMap, Interner, PermitId, Priority, ServerIndex},
 };
 
 /// Health of a server according to the outlier detector, from best to worst.
@@ -113,8 +113,8 @@
     pub idempotent: bool,
     /// Deadline of the request, in milliseconds of the owner's clock.
     pub deadline_ms: u64,
-    /// Priority; 0 is the most urgent.
-    pub priority: u32,
+    /// Priority.
+    pub priority: Priority,
     /// Data centre of the entry instance; servers there are preferred.
     pub data_centre: String,
     /// Size of the request's body, in bytes.
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -6,7 +6,7 @@
         CreditBudget, FailureRate, Pool, SelectError, Selection, Server, SlotRequest, SpreadPolicy,
         Standing, Waiter,
     },
-    types::{EntityMap, ServerIndex},
+    types::{EntityMap, Priority, ServerIndex},
 };
 
 /// Least rate with which the time of a round is computed, in requests per second, so that it stays finite.
@@ -207,7 +207,7 @@
 
 /// Counts the waiters in front of `ticket`; without a ticket, those that a new request of `priority` would queue
 /// behind.
-pub fn waiters_ahead(pool: &Pool, ticket: Option<u64>, priority: u32) -> usize {
+pub fn waiters_ahead(pool: &Pool, ticket: Option<u64>, priority: Priority) -> usize {
     let is_ahead = |waiter: &&Waiter| match ticket {
         Some(ticket) => waiter.ticket != ticket,
         None => waiter.request.priority <= priority,
@@ -216,7 +216,12 @@
 }
 
 /// Counts the active waiters among those that [`waiters_ahead`] counts.
-pub fn active_waiters_ahead(pool: &Pool, ticket: Option<u64>, priority: u32, now_ms: u64) -> usize {
+pub fn active_waiters_ahead(
+    pool: &Pool,
+    ticket: Option<u64>,
+    priority: Priority,
+    now_ms: u64,
+) -> usize {
     let ahead = waiters_ahead(pool, ticket, priority);
     let waiters = pool.queue.iter().take(ahead);
     waiters
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -14,7 +14,7 @@
     },
     quickcheck::quickcheck,
     std::{collections::HashSet, net::SocketAddr},
-    types::{PermitId, ServerIndex},
+    types::{PermitId, Priority, ServerIndex},
 };
 
 fn address() -> SocketAddr {
@@ -150,7 +150,10 @@
     assert!(cancel_request(&mut pool, 9).is_none());
     assert!(cancel_request(&mut pool, 8).is_none());
     assert_eq!(
-        (outstanding_permits(&pool), waiters_ahead(&pool, None, 0)),
+        (
+            outstanding_permits(&pool),
+            waiters_ahead(&pool, None, Priority::default())
+        ),
         (1, 0)
     );
     assert!(cancel_request(&mut pool, 7).is_some());
@@ -177,9 +180,9 @@
     assert_eq!(first_active_waiter(&pool, 10), Some(second));
     refresh_waiter(&mut pool, first, 40, 40);
     assert_eq!(first_active_waiter(&pool, 10), Some(first));
-    assert_eq!(waiters_ahead(&pool, Some(second), 0), 1);
+    assert_eq!(waiters_ahead(&pool, Some(second), Priority::new(0)), 1);
     expire_waiters(&mut pool, 500);
-    assert_eq!(waiters_ahead(&pool, None, 0), 0);
+    assert_eq!(waiters_ahead(&pool, None, Priority::default()), 0);
 }
 
 #[test]
@@ -253,11 +256,17 @@
     let selection = select_best(&pool, &slot_request(true)).expect("a slot");
     let id = grant(&mut pool, selection, lease(1_000), 0);
     release_permit(&mut pool, id, Some(300_000));
-    assert!(good_servers_suffice(&pool, waiters_ahead(&pool, None, 0)));
+    assert!(good_servers_suffice(
+        &pool,
+        waiters_ahead(&pool, None, Priority::default())
+    ));
     for _ in 0..3 {
         enqueue(&mut pool, slot_request(true), 0);
     }
-    assert!(!good_servers_suffice(&pool, waiters_ahead(&pool, None, 0)));
+    assert!(!good_servers_suffice(
+        &pool,
+        waiters_ahead(&pool, None, Priority::default())
+    ));
     set_standing(&mut pool, 0, Standing::Suspect);
     assert!(!good_servers_suffice(&Pool::new(), 0));
 }
@@ -352,17 +361,17 @@
 #[test]
 fn enqueue_urgent_first() {
     let mut pool = pool(1, 1);
-    let with_priority = |priority| SlotRequest {
-        priority,
+    let with_priority = |route| SlotRequest {
+        priority: Priority::new(route),
         ..slot_request(true)
     };
     let late = enqueue(&mut pool, with_priority(2), 0);
     let urgent = enqueue(&mut pool, with_priority(1), 0);
     let second = enqueue(&mut pool, with_priority(1), 0);
-    assert_eq!(waiters_ahead(&pool, Some(urgent), 1), 0);
-    assert_eq!(waiters_ahead(&pool, Some(second), 1), 1);
-    assert_eq!(waiters_ahead(&pool, Some(late), 2), 2);
-    assert_eq!(waiters_ahead(&pool, None, 1), 2);
+    assert_eq!(waiters_ahead(&pool, Some(urgent), Priority::new(1)), 0);
+    assert_eq!(waiters_ahead(&pool, Some(second), Priority::new(1)), 1);
+    assert_eq!(waiters_ahead(&pool, Some(late), Priority::new(2)), 2);
+    assert_eq!(waiters_ahead(&pool, None, Priority::new(1)), 2);
 }
 
 quickcheck! {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod ids;
 mod map;
+mod priority;
 mod result_code;
 mod shards;
 
@@ -12,6 +13,7 @@
     backoff::exponential_backoff_ms,
     ids::{DataCentreIndex, PermitId, ServerIndex, ServiceIndex},
     map::{EntityMap, Interner},
+    priority::Priority,
     result_code::{ExecutionStatus, ResultCode},
     shards::{shard_hash, Shards},
 };
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -68,6 +68,8 @@
     BodyTooLarge = 1103, 413, NotRun, "The request's body is larger than the service allows.";
     BodyCut = 1104, 400, Unknown, "The caller's body ended early after part of it was passed on.";
     CallerLeft = 1105, 499, Unknown, "The caller left before its answer was there.";
+    UnknownKey = 1106, 401, NotRun, "The API key is missing or belongs to no client account.";
+    QuotaExceeded = 1107, 429, NotRun, "The client account has used up its quota.";
     NoConfiguration = 1201, 503, NotRun, "This instance has not learnt a configuration yet.";
     NoServer = 1202, 503, NotRun, "The service has no backend server that may take work.";
     Overloaded = 1203, 503, NotRun, "The request could not have finished within its deadline.";
@@ -75,6 +77,7 @@
     DeadlineNotRun = 1205, 503, NotRun, "The deadline passed before any backend server was given the request.";
     Stopping = 1206, 503, NotRun, "This instance is stopping.";
     OldConfiguration = 1207, 503, NotRun, "No route matches, but this instance's configuration may be out of date.";
+    KeysUnconfirmed = 1208, 503, NotRun, "The API key can't be checked, because this instance's configuration may be out of date.";
     KeyUnclaimed = 1301, 503, NotRun, "The idempotency key could not be claimed; try again later.";
     KeyTooOld = 1302, 409, NotRun, "The idempotency key is older than the claim window.";
     KeyElsewhereUnknown = 1303, 409, Unknown, "The key was claimed before and its answer can't be had.";
--- a/crates/wire/src/convert/configs.rs
+++ b/crates/wire/src/convert/configs.rs
@@ -2,12 +2,14 @@
 
 use {
     crate::generated::{
-        ConfigKind, ConfigPatchJson, ConfigRecord, DestinationJson, DetectionJson, DocumentJson,
-        FindingJson, LimitsJson, RequestKindJson, RouteJson, RouteSpanJson, ServiceJson,
+        AccountJson, AccountSpanJson, ConfigKind, ConfigPatchJson, ConfigRecord, DestinationJson,
+        DetectionJson, DocumentJson, FindingJson, LimitsJson, RequestKindJson, RouteJson,
+        RouteSpanJson, ServiceJson,
     },
     config::{
-        AcceptedConfig, CallerLimits, ConfigEvent, Decision, Destination, DetectionMode, Document,
-        DocumentPatch, Proposal, RequestKind, Route, RouteSpan, Service, ValidationError,
+        AcceptedConfig, Account, ApiKeyDigest, CallerLimits, ConfigEvent, Decision, Destination,
+        DetectionMode, Document, DocumentPatch, Proposal, RequestKind, Route, Service, Span,
+        ValidationError,
     },
 };
 
@@ -17,6 +19,7 @@
         services: document.services.iter().map(encode_service).collect(),
         routes: document.routes.iter().map(encode_route).collect(),
         limits: document.limits.as_ref().map(encode_limits),
+        accounts: document.accounts.iter().map(encode_account).collect(),
     }
 }
 
@@ -26,6 +29,7 @@
         services: json.services.iter().map(decode_service).collect(),
         routes: json.routes.iter().map(decode_route).collect(),
         limits: json.limits.as_ref().map(decode_limits),
+        accounts: json.accounts.iter().map(decode_account).collect(),
     }
 }
 
@@ -35,11 +39,16 @@
     accepted: &AcceptedConfig,
     patch: &DocumentPatch,
 ) -> ConfigPatchJson {
-    let spans = patch.routes.iter().map(|span| RouteSpanJson {
+    let routes = patch.routes.iter().map(|span| RouteSpanJson {
         kept_from: span.kept_from as u64,
         kept: span.kept as u64,
         added: span.added.iter().map(encode_route).collect(),
     });
+    let accounts = patch.accounts.iter().map(|span| AccountSpanJson {
+        kept_from: span.kept_from as u64,
+        kept: span.kept as u64,
+        added: span.added.iter().map(encode_account).collect(),
+    });
     ConfigPatchJson {
         base_version,
         version: accepted.version,
@@ -47,21 +56,28 @@
         through_offset: accepted.through_offset,
         services: patch.services.iter().map(encode_service).collect(),
         limits: patch.limits.as_ref().map(encode_limits),
-        routes: spans.collect(),
+        routes: routes.collect(),
+        accounts: accounts.collect(),
     }
 }
 
 /// Decodes the changes of a document.
 pub fn decode_document_patch(json: &ConfigPatchJson) -> DocumentPatch {
-    let spans = json.routes.iter().map(|span| RouteSpan {
+    let routes = json.routes.iter().map(|span| Span {
         kept_from: span.kept_from as usize,
         kept: span.kept as usize,
         added: span.added.iter().map(decode_route).collect(),
     });
+    let accounts = json.accounts.iter().map(|span| Span {
+        kept_from: span.kept_from as usize,
+        kept: span.kept as usize,
+        added: span.added.iter().map(decode_account).collect(),
+    });
     DocumentPatch {
         services: json.services.iter().map(decode_service).collect(),
         limits: json.limits.as_ref().map(decode_limits),
-        routes: spans.collect(),
+        routes: routes.collect(),
+        accounts: accounts.collect(),
     }
 }
 
@@ -202,6 +218,7 @@
         target_ms: route.target_ms,
         priority: Some(route.priority),
         attempts_max: Some(route.attempts_max),
+        public: route.is_public.then_some(true),
     }
 }
 
@@ -243,7 +260,44 @@
         target_ms: json.target_ms,
         priority: json.priority.unwrap_or_default(),
         attempts_max: json.attempts_max.unwrap_or(Route::ATTEMPTS_MAX),
+        is_public: json.public.unwrap_or_default(),
+    }
+}
+
+fn encode_account(account: &Account) -> AccountJson {
+    AccountJson {
+        name: account.name.clone(),
+        key_digests: account.key_digests.iter().map(hex::encode).collect(),
+        priority: Some(account.priority),
+        rate_per_s: (account.rate_milli > 0).then_some(account.rate_milli as f64 / 1_000.0),
+        burst: (account.burst_requests > 0).then_some(account.burst_requests),
+    }
+}
+
+fn decode_account(json: &AccountJson) -> Account {
+    Account {
+        name: json.name.clone(),
+        key_digests: json
+            .key_digests
+            .iter()
+            .map(|text| decode_key(text))
+            .collect(),
+        priority: json.priority.unwrap_or_default(),
+        rate_milli: json
+            .rate_per_s
+            .map_or(0, |rate| (rate * 1_000.0).round() as u64),
+        burst_requests: json.burst.unwrap_or_default(),
+    }
+}
+
+/// Decodes the digest of an API key. One that is malformed becomes the digest of no key, so that the validation reports
+/// it instead of the decoding losing the whole document.
+fn decode_key(text: &str) -> ApiKeyDigest {
+    let mut digest = ApiKeyDigest::default();
+    if hex::decode_to_slice(text, &mut digest).is_err() {
+        return ApiKeyDigest::default();
     }
+    digest
 }
 
 fn encode_limits(limits: &CallerLimits) -> LimitsJson {
--- a/crates/wire/tests/compressed.rs
+++ b/crates/wire/tests/compressed.rs
@@ -14,6 +14,7 @@
         services: Vec::new(),
         routes: (0..500).map(route).collect(),
         limits: None,
+        accounts: Vec::new(),
     }
 }
 
--- a/crates/wire/tests/docs.rs
+++ b/crates/wire/tests/docs.rs
@@ -32,7 +32,7 @@
 
 #[test]
 fn config_page_every_field() {
-    for definition in ["DocumentJson", "ServiceJson", "RouteJson"] {
+    for definition in ["DocumentJson", "ServiceJson", "RouteJson", "AccountJson"] {
         assert_eq!(
             undocumented_fields(definition, CONFIG_PAGE),
             Vec::<String>::new(),
