--- a/crates/entry/src/commands/handle_request.rs
+++ b/crates/entry/src/commands/handle_request.rs
@@ -42,7 +42,7 @@
         match queries::classify(config, &incoming, &proxy.conventions, request_id) {
             Ok(mut plan) => {
                 plan.deadline = proxy.limited_deadline(plan.deadline);
-                finish_on_drop.0.record_plan(&plan.service, plan.deadline);
+                finish_on_drop.0.record_plan(&plan);
                 let service = plan.service.clone();
                 let response = run_plan(proxy, plan, incoming, finish_on_drop.0.clone()).await;
                 (service, response)
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -3,6 +3,7 @@
 //! Invariant: exactly one line is logged per request, also when the caller disconnects and the future is dropped.
 
 use {
+    crate::RequestPlan,
     log::info,
     std::{
         sync::{Arc, Mutex, PoisonError},
@@ -14,6 +15,7 @@
 
 #[derive(Debug)]
 struct LogState {
+    account: Option<String>,
     service: String,
     server: String,
     exchanges: u32,
@@ -38,6 +40,7 @@
             version,
             received_at,
             state: Arc::new(Mutex::new(LogState {
+                account: None,
                 service: String::new(),
                 server: String::new(),
                 exchanges: 0,
@@ -56,11 +59,12 @@
         work(&mut state);
     }
 
-    /// Records the classification: the service and the deadline.
-    pub(crate) fn record_plan(&self, service: &str, deadline: Instant) {
+    /// Records the classification: the account, the service and the deadline.
+    pub(crate) fn record_plan(&self, plan: &RequestPlan) {
         self.with_state(|state| {
-            service.clone_into(&mut state.service);
-            state.deadline = Some(deadline);
+            state.account.clone_from(&plan.account);
+            plan.service.clone_into(&mut state.service);
+            state.deadline = Some(plan.deadline);
         });
     }
 
@@ -88,6 +92,7 @@
             let until = state.granted_at.unwrap_or_else(Instant::now);
             let deadline = state.deadline.unwrap_or(self.received_at);
             let decision = RequestDecision {
+                account: state.account.clone(),
                 request: self.request.to_string(),
                 service: state.service.clone(),
                 version: self.version,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A proxy whose slots, claims and servers are fixed, with closures in place of the pool owner and the log.
 
+#![allow(dead_code)] // Each test binary uses only a part of this module.
+
 use {
     account::KeyIndex,
     bytes::Bytes,
@@ -84,7 +86,7 @@
     }
 }
 
-fn document() -> Document {
+pub(crate) fn document() -> Document {
     let route = |method: &str, kind| Route {
         methods: vec![method.into()],
         ..Route::new("/", "s", kind)
--- a/crates/standin/src/store_fixtures.rs
+++ b/crates/standin/src/store_fixtures.rs
@@ -47,11 +47,21 @@
     /// Writes a configuration with the routes `/read/`, `/order/` and `/vVERSION/`; the last tells tests which version
     /// is active.
     pub fn put_config(&self, version: u64, timeout_s: f64) {
+        self.put_config_with_accounts(version, timeout_s, &[]);
+    }
+
+    /// Writes the same configuration with client accounts, each a name and an API key, and the public route `/open/`.
+    pub fn put_config_with_accounts(
+        &self,
+        version: u64,
+        timeout_s: f64,
+        accounts: &[(&str, &str)],
+    ) {
         let route = |prefix: &str, kind: &str| -> Value {
             json!({
                 "name": prefix, "host": ROUTE_HOST, "path_prefix": prefix, "kind": kind,
                 "timeout_s": timeout_s, "target_latency_s": 0.5, "priority": 1,
-                "service": "orders", "max_attempts": 2,
+                "service": "orders", "max_attempts": 2, "public": prefix == "/open/",
             })
         };
         let document = json!({
@@ -60,12 +70,16 @@
                 route("/read/", "safe"),
                 route("/order/", "unsafe"),
                 route(&format!("/v{version}/"), "safe"),
+                route("/open/", "safe"),
             ],
             "services": [{ "name": "orders", "health_path": "/health", "max_connections": 400 }],
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": 1048576,
                 "header_timeout_s": 3, "idle_timeout_s": 15,
             },
+            "tenants": accounts.iter().map(|(name, key)| json!({
+                "name": name, "api_keys": [key], "priority": 1, "rate_per_s": 0, "burst": 0,
+            })).collect::<Vec<Value>>(),
         });
         self.put("keyed.op", "config", Some(&document.to_string()));
     }
