--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A proxy whose slots, claims and servers are fixed, with closures in place of the pool owner and the log.
 
+#![allow(dead_code)] // Each test binary uses only a part of this module.
+
 use {
+    account::KeyIndex,
     bytes::Bytes,
     config::{DetectionMode, Document, DocumentIndex, RequestKind, Route, Service},
     entry::{
@@ -83,7 +86,7 @@
     }
 }
 
-fn document() -> Document {
+pub(crate) fn document() -> Document {
     let route = |method: &str, kind| Route {
         methods: vec![method.into()],
         ..Route::new("/", "s", kind)
@@ -103,6 +106,7 @@
             route("POST", RequestKind::Unsafe),
         ],
         limits: None,
+        accounts: Vec::new(),
     }
 }
 
@@ -137,6 +141,8 @@
         is_current: true,
         document: &document,
         index: &DocumentIndex::new(&document),
+        keys: &KeyIndex::new(&document.accounts),
+        accepts_keys: true,
     };
     handle_request(&fixture.proxy, config, incoming).await
 }
