Check a document for entries without effect, and against the active version

A route behind another one that takes its requests, a limit that a smaller one overrules or an account without a key was accepted without a word, and the difference to the active version was shown only after proposing. `catkinhitch check` reports both, as text or JSON, with an exit status of its own for warnings. Proposals describe changes of accounts and public routes, which went unmentioned.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -46,9 +46,13 @@
 /// Subcommands of the tool.
 #[derive(Bpaf, Clone, Debug)]
 pub enum Command {
-    /// Check a document without an instance. Example: catkinhitch check document.json
+    /// Check a document: errors, entries without effect, and with --admin what differs from the version in force.
+    /// Example: catkinhitch check document.json
     #[bpaf(command)]
     Check {
+        /// Instance whose active version the document is compared with
+        #[bpaf(argument("ADDRESS"), optional)]
+        admin: Option<SocketAddr>,
         /// The document (JSON)
         #[bpaf(positional("FILE"))]
         file: PathBuf,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,10 +1,11 @@
 //! Errors of the tool and their exit statuses.
 
 use {
+    crate::queries::{format_check, format_findings},
     snafu::Snafu,
     std::{io, net::SocketAddr, path::PathBuf},
     wire::{
-        generated::{AdminResponse, FindingJson},
+        generated::{AdminResponse, CheckReport, FindingJson},
         CodecError,
     },
 };
@@ -33,6 +34,12 @@
         /// All errors with their JSON paths.
         findings: Vec<FindingJson>,
     },
+    /// The check of a document found errors or entries without effect.
+    #[snafu(display("{}", format_check(report)))]
+    Check {
+        /// What the check found.
+        report: CheckReport,
+    },
     /// The instance can't be reached or does not respond in time.
     #[snafu(display("{address}: {reason}"))]
     Unreachable {
@@ -55,16 +62,10 @@
         match self {
             Self::File { .. } | Self::Parse { .. } => 2,
             Self::Invalid { .. } => 3,
+            Self::Check { report } if !report.errors.is_empty() => 3,
+            Self::Check { .. } => 6,
             Self::Refused { .. } => 4,
             Self::Unreachable { .. } => 5,
         }
     }
 }
-
-fn format_findings(findings: &[FindingJson]) -> String {
-    let lines: Vec<String> = findings
-        .iter()
-        .map(|finding| format!("{}: {}", finding.path, finding.sentence))
-        .collect();
-    lines.join("\n")
-}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -34,6 +34,7 @@
 fn print_error(arguments: &Arguments, error: &CliError) {
     match error {
         CliError::Refused { response } if arguments.json => println!("{}", to_json(response)),
+        CliError::Check { report } if arguments.json => println!("{}", to_json(report)),
         CliError::Invalid { findings } if arguments.json => println!("{}", to_json(findings)),
         _ => eprintln!("{error}"),
     }
@@ -42,12 +43,15 @@
 async fn execute(arguments: &Arguments) -> Result<String, CliError> {
     let json = arguments.json;
     match &arguments.command {
-        Command::Check { file } => {
-            let document = commands::read_document(file)?;
+        Command::Check { admin, file } => {
+            let report = queries::check_document(file, *admin).await?;
+            if !report.errors.is_empty() || !report.warnings.is_empty() {
+                return Err(CliError::Check { report });
+            }
             Ok(if json {
-                to_json(&document)
+                to_json(&report)
             } else {
-                "No errors.".to_owned()
+                queries::format_check(&report)
             })
         }
         Command::Propose { target, base, file } => {
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -100,6 +100,18 @@
         (approved.status, approved.stdout.trim()),
         (Some(0), "Version 1 is in force.")
     );
+    let changed = write_file("changed.json", &DOCUMENT.replace("1000,\n", "900,\n"));
+    let compared = ["check", path_text(&changed), target[0], target[1]];
+    let compared = run_tool("", &compared).await;
+    assert_eq!(compared.status, Some(0), "{}", compared.stderr);
+    let difference = "deadline changes from 1000 to 900 ms";
+    assert!(
+        compared.stdout.contains("Against version 1:"),
+        "{}",
+        compared.stdout
+    );
+    assert!(compared.stdout.contains(difference), "{}", compared.stdout);
+    let _ = fs::remove_file(changed);
     let history = run_tool("", &["history", target[0], target[1]]).await;
     assert!(history.stdout.contains("finance") && history.stdout.contains("InForce"));
     let status = run_tool("", &["--json", "status", target[0], target[1]]).await;
@@ -114,6 +126,20 @@
 #[tokio::test]
 async fn check_each_exit_status() {
     let good = write_file("good.json", DOCUMENT);
+    let unused = write_file("unused.json", &DOCUMENT.replace("}]\n}", "}, {\"prefix\": \"/\", \"methods\": [\"POST\", \"POST\"], \"service\": \"s\", \"kind\": \"safe\"}]\n}"));
+    let run = run_tool("", &["check", path_text(&unused)]).await;
+    assert_eq!(run.status, Some(6), "{}", run.stderr);
+    assert!(
+        run.stderr.contains("warning: $.routes[1]: never matches"),
+        "{}",
+        run.stderr
+    );
+    let run = run_tool("", &["--json", "check", path_text(&unused)]).await;
+    assert!(
+        run.stdout.contains(r#""warnings":[{"path":"$.routes[1]""#),
+        "{}",
+        run.stdout
+    );
     let wrong = write_file("wrong.json", &DOCUMENT.replace("\"/\"", "\"no\""));
     let broken = write_file("broken.json", "{");
     assert_eq!(
@@ -133,7 +159,7 @@
     );
     let unreachable = ["show", "--admin", "127.0.0.1:9"];
     assert_eq!(run_tool("", &unreachable).await.status, Some(5));
-    for path in [good, wrong, broken] {
+    for path in [good, unused, wrong, broken] {
         let _ = fs::remove_file(path);
     }
 }
--- a/crates/config/src/queries.rs
+++ b/crates/config/src/queries.rs
@@ -6,6 +6,7 @@
 mod route;
 mod state;
 mod validate;
+mod warnings;
 
 pub use self::{
     diff::describe_changes,
@@ -17,4 +18,5 @@
         open_proposal, open_proposals,
     },
     validate::validate,
+    warnings::warnings,
 };
--- a/crates/config/src/queries/diff.rs
+++ b/crates/config/src/queries/diff.rs
@@ -3,7 +3,7 @@
 //! The reader is the person who approves the proposal, so each comparison starts with capacity that may be taken out of
 //! service and requests that may be retried.
 
-use crate::{DetectionMode, Document, RequestKind, Route, Service};
+use crate::{Account, DetectionMode, Document, RequestKind, Route, Service};
 
 /// Returns one sentence per change from `old_document` to `new_document`.
 pub fn describe_changes(old_document: &Document, new_document: &Document) -> Vec<String> {
@@ -26,6 +26,7 @@
         }
     }
     describe_routes(old_document, new_document, &mut sentences);
+    describe_accounts(old_document, new_document, &mut sentences);
     if sentences.is_empty() {
         sentences.push("Nothing changes.".to_owned());
     }
@@ -178,6 +179,10 @@
             route_destinations(new)
         ));
     }
+    if new.is_public != old.is_public {
+        let needs = if new.is_public { "no" } else { "an" };
+        sentences.push(format!("Requests to {route_pattern} need {needs} API key."));
+    }
     let changes = [
         ("timeout", old.timeout_ms, new.timeout_ms, " ms"),
         ("target", old.target_ms, new.target_ms, " ms"),
@@ -217,3 +222,104 @@
         }
     }
 }
+
+fn describe_accounts(
+    old_document: &Document,
+    new_document: &Document,
+    sentences: &mut Vec<String>,
+) {
+    let had_accounts = !old_document.accounts.is_empty();
+    let has_accounts = !new_document.accounts.is_empty();
+    if has_accounts && !had_accounts {
+        sentences.push(
+            "COST: requests need an API key from now on, except on public routes.".to_owned(),
+        );
+    }
+    if had_accounts && !has_accounts {
+        sentences.push("COST: requests need no API key any more.".to_owned());
+    }
+    for account in &new_document.accounts {
+        match find(&old_document.accounts, |old| old.name == account.name) {
+            Some(old) => describe_account(old, account, sentences),
+            None => sentences.push(format!(
+                "Account {} is new, with {}, {} and priority {}.",
+                account.name,
+                key_count(account.key_digests.len()),
+                rate_text(account),
+                account.priority
+            )),
+        }
+    }
+    for old in &old_document.accounts {
+        if find(&new_document.accounts, |account| account.name == old.name).is_none() {
+            sentences.push(format!(
+                "Account {} goes: its callers are refused.",
+                old.name
+            ));
+        }
+    }
+}
+
+fn key_count(count: usize) -> String {
+    if count == 1 {
+        "1 key".to_owned()
+    } else {
+        format!("{count} keys")
+    }
+}
+
+fn rate_text(account: &Account) -> String {
+    if account.rate_milli == 0 {
+        return "no limit".to_owned();
+    }
+    format!(
+        "{} requests a second, a burst of {}",
+        account.rate_milli as f64 / 1_000.0,
+        account.burst_requests
+    )
+}
+
+fn describe_account(old: &Account, new: &Account, sentences: &mut Vec<String>) {
+    let without = |keys: &Account, other: &Account| {
+        let mut digests = keys.key_digests.iter();
+        digests
+            .by_ref()
+            .filter(|key| !other.key_digests.contains(key))
+            .count()
+    };
+    let (added, removed) = (without(new, old), without(old, new));
+    if added > 0 || removed > 0 {
+        let is_or_are = if added == 1 { "is" } else { "are" };
+        sentences.push(format!(
+            "Account {}: {} {is_or_are} added and {removed} {} removed.",
+            new.name,
+            key_count(added),
+            if removed == 1 { "is" } else { "are" }
+        ));
+    }
+    if new.rate_milli != old.rate_milli {
+        sentences.push(format!(
+            "Account {}: rate changes from {} to {} requests a second{}.",
+            new.name,
+            old.rate_milli as f64 / 1_000.0,
+            new.rate_milli as f64 / 1_000.0,
+            if new.rate_milli == 0 {
+                ", which is no limit"
+            } else {
+                ""
+            }
+        ));
+    }
+    if new.burst_requests != old.burst_requests {
+        sentences.push(format!(
+            "Account {}: burst changes from {} to {} requests.",
+            new.name, old.burst_requests, new.burst_requests
+        ));
+    }
+    if new.priority != old.priority {
+        sentences.push(format!(
+            "Account {}: priority changes from {} to {}.",
+            new.name, old.priority, new.priority
+        ));
+    }
+}
