Index the accounts with a limit

Cause: an owner of a pool has to find the limit of a request's account, and a search over all accounts would cost time in proportion to their number.

Change: the document's index has the positions of the accounts with a limit, and the query find_limited_account borrows one.

Result: cargo clippy -p config passes; no behaviour changes.

--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -11,6 +11,8 @@
 pub struct DocumentIndex {
     pub(crate) routes_by_host: HashMap<String, HashMap<String, Vec<usize>>>,
     pub(crate) services_by_name: HashMap<String, usize>,
+    /// Accounts with a limit.
+    pub(crate) limited_accounts: HashMap<String, usize>,
 }
 
 impl DocumentIndex {
@@ -30,6 +32,12 @@
                 .entry(service.name.clone())
                 .or_insert(position);
         }
+        for (position, account) in document.accounts.iter().enumerate() {
+            if account.rate_milli > 0 {
+                let accounts = &mut index.limited_accounts;
+                accounts.entry(account.name.clone()).or_insert(position);
+            }
+        }
         index
     }
 }
--- a/crates/config/src/queries/route.rs
+++ b/crates/config/src/queries/route.rs
@@ -1,6 +1,6 @@
-//! Finds the route, the destination and the service of a request.
+//! Finds the route, the destination, the service and the limited account of a request.
 
-use crate::{Destination, Document, DocumentIndex, Route, Service};
+use crate::{Account, Destination, Document, DocumentIndex, Route, Service};
 
 /// Borrows the route with the longest matching prefix that accepts the method, among the routes of the host and those
 /// for every host. If two prefixes are equally long, the route of the host wins.
@@ -35,6 +35,20 @@
     document.services.get(*index.services_by_name.get(name)?)
 }
 
+/// Borrows the account with the given name if its requests are limited.
+pub fn find_limited_account<'a>(
+    document: &'a Document,
+    index: &DocumentIndex,
+    name: &str,
+) -> Option<&'a Account> {
+    document.accounts.get(*index.limited_accounts.get(name)?)
+}
+
+/// Returns whether the requests of any account are limited.
+pub fn has_limited_accounts(index: &DocumentIndex) -> bool {
+    !index.limited_accounts.is_empty()
+}
+
 /// Borrows the destination of a request by weighted choice, where `hash` is random or derived from the request.
 pub fn pick_destination(route: &Route, hash: u64) -> Option<&Destination> {
     let total: u64 = route
