Charge requests to the quota of their client account

Cause: an account with a limit could send any number of requests.

Change: a permit request of a limited account says whether it is yet to be charged and passes the entry's part of the time on; the response says for how long the credit would be valid. The pool's owner charges it before it queues, and asks the group's quota owner (quota_take) if it has no credit at hand; the quota owner may be another instance, or itself. A request above the quota is refused with 429 and Retry-After. A request that is refused for good after it was charged is refunded by the same owner. An instance without an owner charges its own part. Instances without such requests pass their time on to one of their data centre (quota_time). Requests of other accounts and deployments without limits carry nothing.

The stand-in store writes configurations with accounts.

--- a/crates/daemon/src/commands.rs
+++ b/crates/daemon/src/commands.rs
@@ -22,6 +22,8 @@
 mod pool_maintenance;
 mod pool_sync;
 mod probe;
+mod quota_calls;
+mod quota_charge;
 mod reload;
 mod rpc_server;
 mod snapshot;
--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -11,6 +11,7 @@
             local_choice, notices,
             peer_calls::{call, CallError},
             permit_acquire, permit_release,
+            quota_charge::{spread_ms, Charge},
         },
         queries::{
             candidate_owners, closed_servers, limited_servers, server_closed_reason, ClosedServers,
@@ -76,11 +77,13 @@
     } else {
         Credit::none(node, &request.service)
     };
+    let mut charge = Charge::new(node, &request);
     for _ in 0..CLOSED_GRANTS_MAX {
         let grant = if node.settings.uses_permits {
-            acquire_from_pools(node, &request, &mut credit).await?
+            acquire_from_pools(node, &request, &mut credit, &mut charge).await?
         } else {
             credit.keep();
+            charge.charge_own(node, &request)?;
             local_choice::choose_server(node, &request)?
         };
         let Some(reason) = server_closed_reason(node, &grant.server) else {
@@ -122,6 +125,7 @@
     node: &Arc<Node>,
     request: &AcquireRequest,
     credit: &mut Credit,
+    charge: &mut Charge,
 ) -> Result<Grant, Refusal> {
     let view = node.view.load_full();
     let own_areas = [node.settings.data_centre.as_str(), node.settings.region()];
@@ -136,13 +140,15 @@
     };
     if pools.len() > 1 {
         for pool in pools.iter().take(POOLS_MAX) {
-            let result = request_from_pool(node, &view, pool, &request, credit, false).await;
-            if result.is_ok() {
+            let result =
+                request_from_pool(node, &view, pool, &request, credit, charge, false).await;
+            let is_above_quota = |refusal: &Refusal| refusal.code == ResultCode::QuotaExceeded;
+            if result.is_ok() || result.as_ref().is_err_and(is_above_quota) {
                 return result;
             }
         }
     }
-    request_from_pool(node, &view, nearest, &request, credit, true).await
+    request_from_pool(node, &view, nearest, &request, credit, charge, true).await
 }
 
 /// Requests a slot from the pool's owner, then from the next in order, then chooses a server locally.
@@ -152,11 +158,12 @@
     area: &str,
     request: &AcquireRequest,
     credit: &mut Credit,
+    charge: &mut Charge,
     may_queue: bool,
 ) -> Result<Grant, Refusal> {
     for owner in candidate_owners(node, view, &request.service, area).take(OWNERS_MAX) {
         let permit_request = permit_request(node, view, area, request, may_queue);
-        let result = request_from_owner(node, owner, request, permit_request, credit).await;
+        let result = request_from_owner(node, owner, request, permit_request, credit, charge).await;
         if let Some(result) = result {
             return result;
         }
@@ -165,6 +172,7 @@
         .owner_fallbacks
         .with_label_values(&["no owner answered"])
         .inc();
+    charge.charge_own(node, request)?;
     local_choice::choose_server(node, request)
 }
 
@@ -176,6 +184,7 @@
     request: &AcquireRequest,
     mut permit_request: PermitRequest,
     credit: &mut Credit,
+    charge: &mut Charge,
 ) -> Option<Result<Grant, Refusal>> {
     let mut pending = PendingRequest::new(node, owner, &permit_request);
     let mut share_ms = permit_request.share_ms;
@@ -183,15 +192,21 @@
         permit_request.remaining_ms = time_left_ms(request.deadline);
         permit_request.credit_milli = credit.take();
         permit_request.share_ms = std::mem::take(&mut share_ms);
+        let sent_ms = node.now_ms();
+        permit_request.quota = charge.take(node, &owner.name);
         let response = match send_permit_request(node, owner, &permit_request).await {
             Ok(response) => response,
             Err(error) => {
                 if matches!(error, CallError::Unreachable) {
+                    charge.put_back(permit_request.quota.as_ref(), sent_ms);
                     credit.put_back(permit_request.credit_milli);
                 }
                 return None;
             }
         };
+        if let Some(quota) = &response.quota {
+            charge.record(node, &owner.name, quota, sent_ms);
+        }
         if response.verdict != PermitVerdict::Queued {
             pending.disarm();
         }
@@ -215,6 +230,12 @@
             }
             PermitVerdict::NoServer => return refused(ResultCode::NoServer),
             PermitVerdict::NoBudget => return refused(ResultCode::RetryBudgetSpent),
+            PermitVerdict::QuotaExceeded => {
+                return Some(Err(Refusal {
+                    code: ResultCode::QuotaExceeded,
+                    retry_after_ms: Some(spread_ms(response.retry_after_ms)),
+                }));
+            }
         }
     }
 }
@@ -307,6 +328,7 @@
         exclude: request.exclude.clone(),
         ticket: None,
         credit_milli: 0,
+        quota: None,
     }
 }
 
--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -5,7 +5,7 @@
         commands::{
             acquire, adopt_config, change_config, claims, credit, fold_config, members,
             peer_calls::{call, close_idle_connections},
-            pool_maintenance, snapshot,
+            pool_maintenance, quota_calls, snapshot,
         },
         queries, Node, Stage,
     },
@@ -48,6 +48,7 @@
     tokio::spawn(snapshot::append_snapshots(Arc::clone(node)));
     tokio::spawn(pool_maintenance::maintain_pools(Arc::clone(node)));
     tokio::spawn(credit::watch_for_stalls(Arc::clone(node)));
+    tokio::spawn(quota_calls::pass_time_on(Arc::clone(node)));
 }
 
 /// Spawns the background tasks of a node whose platform keeps a store.
@@ -82,6 +83,7 @@
     tokio::spawn(feed::commands::follow(feed));
     tokio::spawn(pool_maintenance::maintain_pools(Arc::clone(node)));
     tokio::spawn(credit::watch_for_stalls(Arc::clone(node)));
+    tokio::spawn(quota_calls::pass_time_on(Arc::clone(node)));
 }
 
 fn hooks(node: &Arc<Node>) -> Hooks {
--- a/crates/daemon/src/commands/permit_acquire.rs
+++ b/crates/daemon/src/commands/permit_acquire.rs
@@ -3,8 +3,13 @@
 use {
     crate::{
         commands::{
-            credit, fold_ejections::follow_ejections, pool_handover, pool_sync::get_or_open_pool,
+            credit,
+            fold_ejections::follow_ejections,
+            pool_handover,
+            pool_sync::get_or_open_pool,
+            quota_calls::{self, Charging},
         },
+        queries::quota_terms,
         Node,
     },
     outlier::queries::hedge_delay_us,
@@ -18,9 +23,12 @@
     },
     tokio::{sync::Notify, time::timeout_at},
     types::{PermitId, Priority, ServerIndex},
-    wire::generated::{PermitRequest, PermitResponse, PermitVerdict},
+    wire::generated::{PermitCharge, PermitRequest, PermitResponse, PermitVerdict},
 };
 
+/// Ticket of a request that waits to be charged and has no place in the queue yet; places are numbered from 1.
+const NO_TICKET: u64 = 0;
+
 /// Result of one try to acquire a permit: the response, or the notification to wait for before the next try.
 enum TryResult {
     Granted(PermitResponse),
@@ -29,8 +37,62 @@
     Wait(u64, Arc<Notify>),
 }
 
-/// Responds to a permit request, waiting briefly for a slot if it may queue.
+/// Responds to a permit request: charges it to its account if that is due, and then grants or refuses it.
 pub(crate) async fn acquire_permit(node: &Arc<Node>, request: &PermitRequest) -> PermitResponse {
+    let Some(quota) = &request.quota else {
+        return count_response(node, acquire_slot(node, request).await);
+    };
+    if let Some(time) = &quota.time {
+        quota_calls::add_time(node, time);
+    }
+    let now_ms = node.now_ms();
+    let mut charged_until_ms = quota.charged_ms.map(|valid_ms| now_ms + valid_ms);
+    let mut response = match charge(node, request).await {
+        None => acquire_slot(node, request).await,
+        Some(Charging::Charged(until_ms)) => {
+            quota_calls::count(node, "charged");
+            charged_until_ms = Some(until_ms);
+            acquire_slot(node, request).await
+        }
+        Some(Charging::Refused(retry_after_ms)) => {
+            quota_calls::count(node, "refused");
+            PermitResponse {
+                retry_after_ms,
+                ..refusal_response(PermitVerdict::QuotaExceeded, 0, 0)
+            }
+        }
+        Some(Charging::Pending) => refusal_response(PermitVerdict::Queued, NO_TICKET, 0),
+    };
+    // Without queueing, the requester asks further pools before it gives up.
+    let is_final = request.may_queue
+        && matches!(
+            response.verdict,
+            PermitVerdict::Busy | PermitVerdict::Overloaded | PermitVerdict::NoServer
+        );
+    if is_final {
+        let account = request.account.as_deref().unwrap_or_default();
+        if let Some(until_ms) = charged_until_ms.take() {
+            quota_calls::refund(node, account, until_ms);
+        }
+    }
+    let now_ms = node.now_ms();
+    response.quota = Some(PermitCharge {
+        charged_ms: charged_until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
+        clock_ms: now_ms,
+    });
+    count_response(node, response)
+}
+
+/// Charges a request to its account if that is due and the account has a limit here.
+async fn charge(node: &Arc<Node>, request: &PermitRequest) -> Option<Charging> {
+    let account = request.account.as_deref()?;
+    let is_due = request.quota.as_ref().is_some_and(|quota| quota.charge);
+    let terms = quota_terms(node, account).filter(|_| is_due)?;
+    Some(quota_calls::charge_request(node, account, &terms).await)
+}
+
+/// Acquires a slot, waiting briefly for one if the request may queue.
+async fn acquire_slot(node: &Arc<Node>, request: &PermitRequest) -> PermitResponse {
     let received_at = Instant::now();
     let id = node.pools.id(&request.service, &request.area);
     let deadline =
@@ -51,16 +113,16 @@
                 node.metrics
                     .queue_wait
                     .observe(received_at.elapsed().as_secs_f64());
-                return count_response(node, response);
+                return response;
             }
-            TryResult::Refused(response) => return count_response(node, response),
+            TryResult::Refused(response) => return response,
             TryResult::Wait(ticket, notify) => (ticket, notify),
         };
         acquire_request.ticket = Some(ticket);
         // It was added by the first try.
         acquire_request.credit_milli = 0;
         if timeout_at(deadline, notify.notified()).await.is_err() {
-            return count_response(node, refusal_response(PermitVerdict::Queued, ticket, 0));
+            return refusal_response(PermitVerdict::Queued, ticket, 0);
         }
     }
 }
@@ -89,7 +151,7 @@
 fn decode_request(request: &PermitRequest, now_ms: u64) -> AcquireRequest<'_> {
     AcquireRequest {
         acquire_id: request.ask,
-        ticket: request.ticket,
+        ticket: request.ticket.filter(|&ticket| ticket != NO_TICKET),
         is_retry: request.sent > 0,
         credit_milli: request.credit_milli,
         idempotent: request.idempotent,
@@ -169,6 +231,7 @@
         hedge_after_ms: hedge_delay_us(&state.health)
             .map_or(0, |delay_us| (delay_us / 1_000.0) as u64),
         retry_after_ms: 0,
+        quota: None,
     }
 }
 
@@ -182,6 +245,7 @@
         address: String::new(),
         hedge_after_ms: 0,
         retry_after_ms: 0,
+        quota: None,
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/commands/quota_charge.rs
@@ -0,0 +1,175 @@
+//! Charges requests to the quota of their client account: what an instance does for the requests that it received.
+//!
+//! A request is charged once, by the owner of the first pool that it asks for a slot. What was charged travels with the
+//! request: an owner that refuses it for good refunds it, and an instance that gets no response charges it again.
+
+use {
+    crate::{
+        commands::quota_calls,
+        queries::{known_instances, quota_terms},
+        Node,
+    },
+    entry::{AcquireRequest, Refusal},
+    quota::{
+        commands::{add_share, record_clock, take_parts, take_share},
+        queries::{account_group, peer_clock_ms},
+        CreditAsk, PeerClock, TimePot, TimeShare, GROUP_COUNT,
+    },
+    types::ResultCode,
+    wire::generated::{PermitCharge, PermitQuota, QuotaTime},
+};
+
+/// What is known of a request's charge.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Charge {
+    /// Whether the request belongs to an account with a limit.
+    is_limited: bool,
+    /// Whether it is charged with this slot: with its first one.
+    is_due: bool,
+    /// Time until which the credit that paid for the request would be valid, in milliseconds; none if it is not charged.
+    charged_until_ms: Option<u64>,
+}
+
+impl Charge {
+    /// Returns the charge of a request that has not been charged. Further slots of the same request cost nothing.
+    pub(crate) fn new(node: &Node, request: &AcquireRequest) -> Self {
+        let account = request.account.as_deref();
+        Self {
+            is_limited: account.is_some_and(|account| quota_terms(node, account).is_some()),
+            is_due: request.is_first,
+            charged_until_ms: None,
+        }
+    }
+
+    /// Takes the charge, to pass it on with a permit request to `owner`, together with this instance's part of the time;
+    /// none if the account has no limit.
+    pub(crate) fn take(&mut self, node: &Node, owner: &str) -> Option<PermitQuota> {
+        if !self.is_limited {
+            return None;
+        }
+        let now_ms = node.now_ms();
+        let until_ms = self.charged_until_ms.take();
+        Some(PermitQuota {
+            charge: self.is_due && until_ms.is_none(),
+            charged_ms: until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
+            time: take_time(node, owner),
+        })
+    }
+
+    /// Keeps what the owner's response says about the charge; `sent_ms` is the time at which the request was sent.
+    pub(crate) fn record(
+        &mut self,
+        node: &Node,
+        owner: &str,
+        response: &PermitCharge,
+        sent_ms: u64,
+    ) {
+        self.charged_until_ms = response.charged_ms.map(|valid_ms| sent_ms + valid_ms);
+        record_peer_clock(node, owner, response.clock_ms);
+    }
+
+    /// Takes back what is known not to have left this instance.
+    pub(crate) fn put_back(&mut self, quota: Option<&PermitQuota>, sent_ms: u64) {
+        let charged_ms = quota.and_then(|quota| quota.charged_ms);
+        self.charged_until_ms = charged_ms.map(|valid_ms| sent_ms + valid_ms);
+    }
+
+    /// Charges the request with this instance's own part of the time, unless it is charged already.
+    ///
+    /// # Errors
+    ///
+    /// This part has no credit for the account.
+    pub(crate) fn charge_own(
+        &mut self,
+        node: &Node,
+        request: &AcquireRequest,
+    ) -> Result<(), Refusal> {
+        let account = request.account.as_deref().unwrap_or_default();
+        let is_charged = !self.is_due || self.charged_until_ms.is_some();
+        if !self.is_limited || is_charged {
+            return Ok(());
+        }
+        let Some(terms) = quota_terms(node, account) else {
+            return Ok(());
+        };
+        let now_ms = node.now_ms();
+        let mut pot = TimePot::default();
+        add_share(&mut pot, take_own_share(node), 0, now_ms);
+        let parts = take_parts(&mut pot, now_ms);
+        for group in 0..GROUP_COUNT {
+            quota_calls::keep_time(node, group, &parts, 0);
+        }
+        let ask = CreditAsk {
+            account: account.to_owned(),
+            needed: 1,
+            ahead: 0,
+        };
+        let group = account_group(account);
+        let grant = quota_calls::take_at_hand(node, group, &ask, &terms);
+        if grant.granted == 0 {
+            return Err(quota_refusal(node, grant.retry_after_ms));
+        }
+        self.charged_until_ms = Some(now_ms);
+        Ok(())
+    }
+}
+
+/// Returns the refusal of a request that is above the quota, with a time that is spread so that callers that were refused
+/// together don't return together.
+pub(crate) fn quota_refusal(node: &Node, retry_after_ms: u64) -> Refusal {
+    node.metrics
+        .quota_requests
+        .with_label_values(&["refused without an owner"])
+        .inc();
+    Refusal {
+        code: ResultCode::QuotaExceeded,
+        retry_after_ms: Some(spread_ms(retry_after_ms)),
+    }
+}
+
+/// Returns a random time between half of `after_ms` and one and a half times as much, in milliseconds.
+pub(crate) fn spread_ms(after_ms: u64) -> u64 {
+    after_ms / 2 + fastrand::u64(0..=after_ms.max(1))
+}
+
+/// Takes this instance's part of the time, to pass it on to `receiver` at once; none if the receiver's clock is not known yet.
+pub(crate) fn take_time(node: &Node, receiver: &str) -> Option<QuotaTime> {
+    let clock_ms = clock_of(node, receiver)?;
+    let share = take_own_share(node);
+    (share.instances > 0 && share.span_ms > 0).then_some(QuotaTime {
+        clock_ms,
+        instances: share.instances,
+        span_ms: share.span_ms,
+    })
+}
+
+/// Returns a value of another instance's clock that is not later than now; none if it is not known yet.
+pub(crate) fn clock_of(node: &Node, peer: &str) -> Option<u64> {
+    let now_ms = node.now_ms();
+    if peer == node.settings.instance {
+        return Some(now_ms);
+    }
+    node.quota_time
+        .with(0, |ledger| peer_clock_ms(ledger, peer, now_ms))
+}
+
+/// Records the clock that another instance's response stated.
+pub(crate) fn record_peer_clock(node: &Node, peer: &str, peer_ms: u64) {
+    if peer == node.settings.instance {
+        return;
+    }
+    let own_ms = node.now_ms();
+    let clock = PeerClock { peer_ms, own_ms };
+    node.quota_time
+        .with(0, |ledger| record_clock(ledger, peer, clock));
+}
+
+/// Takes this instance's part of the time; nothing before it knows the other instances.
+fn take_own_share(node: &Node) -> TimeShare {
+    let Some(known) = known_instances(node) else {
+        return TimeShare::default();
+    };
+    let now_ms = node.now_ms();
+    node.quota_time
+        .with(0, |ledger| take_share(ledger, known, now_ms))
+}
--- a/crates/daemon/src/commands/rpc_server.rs
+++ b/crates/daemon/src/commands/rpc_server.rs
@@ -4,7 +4,7 @@
     crate::{
         commands::{
             claim_response, eject::local_healthy_slots, permit_acquire, permit_release,
-            pool_handover,
+            pool_handover, quota_calls,
         },
         queries::config_response,
         Node, Stage,
@@ -18,7 +18,7 @@
     types::ResultCode,
     wire::generated::{
         ClaimResponseRequest, ConfigPartRequest, ConfigRequest, HealthySlotsRequest, PermitRequest,
-        PermitReturn, PoolEvidence, PoolRequest, SyncRequest,
+        PermitReturn, PoolEvidence, PoolRequest, QuotaTake, QuotaTimePass, SyncRequest,
     },
 };
 
@@ -108,6 +108,21 @@
             Ok(true)
         },
     )?;
+    register_method(
+        &mut module,
+        "quota_take",
+        |node, request: QuotaTake| async move {
+            if node.stage() >= Stage::Draining {
+                return Err(stopping_error());
+            }
+            Ok(quota_calls::respond_to_take(&node, &request))
+        },
+    )?;
+    register_method(
+        &mut module,
+        "quota_time",
+        |node, request: QuotaTimePass| async move { Ok(quota_calls::respond_to_time(&node, &request)) },
+    )?;
     register_feed_methods(&mut module)?;
     Ok(module)
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -53,6 +53,10 @@
     pub(crate) retry_credit: IntGaugeVec,
     /// Server choices made without an owner, by reason.
     pub(crate) owner_fallbacks: IntCounterVec,
+    /// Requests of accounts with a limit, by what the quota decided about them.
+    pub(crate) quota_requests: IntCounterVec,
+    /// Recent requests at this instance as a pool's owner, of the accounts with the most refusals.
+    pub(crate) quota_accounts: IntGaugeVec,
     /// Calls to other instances, by method and outcome.
     pub(crate) peer_calls: IntCounterVec,
     /// Bytes of other instances' responses, by method.
@@ -123,6 +127,18 @@
                 "Choices without an owner",
                 &["reason"],
             )?,
+            quota_requests: counter_vec(
+                &registry,
+                "quota_requests_total",
+                "Requests of accounts with a limit",
+                &["verdict"],
+            )?,
+            quota_accounts: gauge_vec(
+                &registry,
+                "quota_account_requests",
+                "Recent requests of the accounts with the most refusals",
+                &["account", "verdict"],
+            )?,
             peer_calls: counter_vec(
                 &registry,
                 "peer_calls_total",
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,6 +16,7 @@
     outlier::EjectionReplica,
     owner::Pools,
     permit::{CreditAccount, FleetSize, StallDetector},
+    quota::{CreditCache, QuotaLedger, TimeLedger, GROUP_COUNT},
     std::{
         collections::{HashMap, VecDeque},
         sync::{
@@ -114,6 +115,14 @@
     pub(crate) fleet_size: Shards<FleetSize>,
     /// Time that this instance has passed on for servers with limits, by service.
     pub(crate) passed_times: Shards<HashMap<String, PassedTime>>,
+    /// Time that this instance has passed on for the quotas of accounts.
+    pub(crate) quota_time: Shards<TimeLedger>,
+    /// Time and credit that this instance holds as the owner of pools, by group of accounts.
+    pub(crate) quota_caches: Shards<CreditCache>,
+    /// Time and credit that this instance holds as a quota owner, by group of accounts.
+    pub(crate) quota_ledgers: Shards<QuotaLedger>,
+    /// Notified when a call of a group's quota owner ends, by group of accounts.
+    pub(crate) quota_calls: [Notify; GROUP_COUNT],
     /// Detects that this process stood still.
     pub(crate) stall_detector: Shards<StallDetector>,
     /// Wakes the maintenance of pools, which sleeps while this node owns none; notified when a pool is opened.
@@ -175,6 +184,10 @@
             credit_accounts: Shards::new(SHARD_COUNT),
             fleet_size: Shards::new(1),
             passed_times: Shards::new(SHARD_COUNT),
+            quota_time: Shards::new(1),
+            quota_caches: Shards::new(GROUP_COUNT),
+            quota_ledgers: Shards::new(GROUP_COUNT),
+            quota_calls: std::array::from_fn(|_| Notify::new()),
             stall_detector: Shards::new(1),
             pool_opened: Notify::new(),
             view: ArcSwap::default(),
--- a/crates/daemon/src/queries.rs
+++ b/crates/daemon/src/queries.rs
@@ -4,6 +4,7 @@
 mod config;
 mod notices;
 mod peers;
+mod quota;
 mod status;
 mod wait;
 
@@ -15,6 +16,7 @@
     },
     notices::{closed_servers, limited_servers, server_closed_reason, ClosedServers},
     peers::{candidate_owners, is_in_backoff, known_instances},
+    quota::{has_quotas, quota_owners, quota_terms, time_gatherer},
     status::{active_config_version, is_ready, log_age_ms, standing_name, status},
     wait::wait_for_value,
 };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
     server::{full_response, unix_time_ms, BoxedBody, HttpResponse},
     store::{OutageMode, Store, StoreKnobs},
     store_fixtures::{
-        caller_headers, is_matching_response, InstanceSettings, ServerEntry, ROUTE_HOST,
+        caller_headers, is_matching_response, AccountEntry, InstanceSettings, ServerEntry,
+        ROUTE_HOST,
     },
 };
--- a/crates/standin/src/store_fixtures.rs
+++ b/crates/standin/src/store_fixtures.rs
@@ -47,6 +47,16 @@
     /// Writes a configuration with the routes `/read/`, `/order/` and `/vVERSION/`; the last tells tests which version
     /// is active.
     pub fn put_config(&self, version: u64, timeout_s: f64) {
+        self.put_config_with_accounts(version, timeout_s, &[]);
+    }
+
+    /// Writes a configuration as [`put_config`](Self::put_config) does, with client accounts.
+    pub fn put_config_with_accounts(
+        &self,
+        version: u64,
+        timeout_s: f64,
+        accounts: &[AccountEntry<'_>],
+    ) {
         let route = |prefix: &str, kind: &str| -> Value {
             json!({
                 "name": prefix, "host": ROUTE_HOST, "path_prefix": prefix, "kind": kind,
@@ -54,7 +64,7 @@
                 "service": "orders", "max_attempts": 2,
             })
         };
-        let document = json!({
+        let mut document = json!({
             "version": format!("r{version}"),
             "routes": [
                 route("/read/", "safe"),
@@ -67,10 +77,30 @@
                 "header_timeout_s": 3, "idle_timeout_s": 15,
             },
         });
+        if !accounts.is_empty() {
+            let entries = accounts.iter().map(|account| {
+                json!({
+                    "name": account.name, "api_keys": [account.key], "priority": 1,
+                    "rate_per_s": account.rate_per_s, "burst": 0,
+                })
+            });
+            document["tenants"] = entries.collect();
+        }
         self.put("keyed.op", "config", Some(&document.to_string()));
     }
 }
 
+/// A client account of a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountEntry<'a> {
+    /// Name of the account.
+    pub name: &'a str,
+    /// Its API key.
+    pub key: &'a str,
+    /// Requests a second that it may send; 0 for no limit.
+    pub rate_per_s: f64,
+}
+
 /// Settings of an instance on the store's platform.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceSettings<'a> {
