--- a/crates/daemon/tests/accounts.rs
+++ b/crates/daemon/tests/accounts.rs
@@ -6,7 +6,7 @@
 use {
     crate::support::{send, store::StoreCluster, wait_for, Response},
     hyper::Method,
-    standin::caller_headers,
+    standin::{caller_headers, AccountEntry},
     std::fs,
 };
 
@@ -15,6 +15,15 @@
 /// Deadline that the requests carry, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
 
+/// Returns the entry of an account without a limit.
+fn entry<'a>(name: &'a str, key: &'a str) -> AccountEntry<'a> {
+    AccountEntry {
+        name,
+        key,
+        rate_per_s: 0.0,
+    }
+}
+
 async fn send_with_key(
     cluster: &StoreCluster,
     process: usize,
@@ -53,7 +62,7 @@
     let cluster = StoreCluster::new("accounts-required", 2).await;
     cluster
         .store
-        .put_config_with_accounts(12, 2.0, &[("pots", KEY)]);
+        .put_config_with_accounts(12, 2.0, &[entry("pots", KEY)]);
     wait_for_version(&cluster, 12, KEY).await;
     for process in 0..2 {
         assert_eq!(status(&cluster, process, "/read/1", Some(KEY)).await, 200);
@@ -73,11 +82,11 @@
     let mut cluster = StoreCluster::new("accounts-removed", 2).await;
     cluster
         .store
-        .put_config_with_accounts(12, 2.0, &[("pots", KEY)]);
+        .put_config_with_accounts(12, 2.0, &[entry("pots", KEY)]);
     wait_for_version(&cluster, 12, KEY).await;
     cluster
         .store
-        .put_config_with_accounts(13, 2.0, &[("glazes", OTHER_KEY)]);
+        .put_config_with_accounts(13, 2.0, &[entry("glazes", OTHER_KEY)]);
     wait_for_version(&cluster, 13, OTHER_KEY).await;
     for process in 0..2 {
         assert_eq!(status(&cluster, process, "/read/1", Some(KEY)).await, 401);
--- a/crates/standin/src/store_fixtures.rs
+++ b/crates/standin/src/store_fixtures.rs
@@ -50,12 +50,12 @@
         self.put_config_with_accounts(version, timeout_s, &[]);
     }
 
-    /// Writes the same configuration with client accounts, each a name and an API key, and the public route `/open/`.
+    /// Writes a configuration as [`put_config`](Self::put_config) does, with client accounts and the public route `/open/`.
     pub fn put_config_with_accounts(
         &self,
         version: u64,
         timeout_s: f64,
-        accounts: &[(&str, &str)],
+        accounts: &[AccountEntry<'_>],
     ) {
         let route = |prefix: &str, kind: &str| -> Value {
             json!({
@@ -64,7 +64,7 @@
                 "service": "orders", "max_attempts": 2, "public": prefix == "/open/",
             })
         };
-        let document = json!({
+        let mut document = json!({
             "version": format!("r{version}"),
             "routes": [
                 route("/read/", "safe"),
@@ -77,14 +77,31 @@
                 "max_header_bytes": 16384, "max_body_bytes": 1048576,
                 "header_timeout_s": 3, "idle_timeout_s": 15,
             },
-            "tenants": accounts.iter().map(|(name, key)| json!({
-                "name": name, "api_keys": [key], "priority": 1, "rate_per_s": 0, "burst": 0,
-            })).collect::<Vec<Value>>(),
         });
+        if !accounts.is_empty() {
+            let entries = accounts.iter().map(|account| {
+                json!({
+                    "name": account.name, "api_keys": [account.key], "priority": 1,
+                    "rate_per_s": account.rate_per_s, "burst": 0,
+                })
+            });
+            document["tenants"] = entries.collect();
+        }
         self.put("keyed.op", "config", Some(&document.to_string()));
     }
 }
 
+/// A client account of a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountEntry<'a> {
+    /// Name of the account.
+    pub name: &'a str,
+    /// Its API key.
+    pub key: &'a str,
+    /// Requests a second that it may send; 0 for no limit.
+    pub rate_per_s: f64,
+}
+
 /// Settings of an instance on the store's platform.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceSettings<'a> {
