Count refused requests in the demand behind Retry-After

Cause: the quota owner counted the requests that waited for its answer. Those that a pool's owner refuses or charges by itself were missing, so an account far above its quota was asked to come again too early.

Change: a call states the requests that have come since the last one.

--- a/crates/daemon/src/commands/quota_calls.rs
+++ b/crates/daemon/src/commands/quota_calls.rs
@@ -168,6 +168,7 @@
                 account: ask.account.clone(),
                 needed: ask.needed.into(),
                 ahead: ask.ahead.into(),
+                arrived: ask.arrived.into(),
             };
             encode_grant(grant(node, group, &ask))
         }));
@@ -410,6 +411,7 @@
     QuotaAsk {
         account: ask.account.clone(),
         ahead: saturating_u32(ask.ahead),
+        arrived: saturating_u32(ask.arrived),
         needed: saturating_u32(ask.needed),
     }
 }
--- a/crates/daemon/src/commands/quota_charge.rs
+++ b/crates/daemon/src/commands/quota_charge.rs
@@ -103,12 +103,14 @@
             account: account.to_owned(),
             needed: 1,
             ahead: 0,
+            arrived: 1,
         };
         let group = account_group(account);
         let grant = quota_calls::take_at_hand(node, group, &ask, &terms);
         if grant.granted == 0 {
             return Err(quota_refusal(node, grant.retry_after_ms));
         }
+        quota_calls::count(node, "charged without an owner");
         self.charged_until_ms = Some(now_ms);
         Ok(())
     }
@@ -117,10 +119,7 @@
 /// Returns the refusal of a request that is above the quota, with a time that is spread so that callers that were refused
 /// together don't return together.
 pub(crate) fn quota_refusal(node: &Node, retry_after_ms: u64) -> Refusal {
-    node.metrics
-        .quota_requests
-        .with_label_values(&["refused without an owner"])
-        .inc();
+    quota_calls::count(node, "refused without an owner");
     Refusal {
         code: ResultCode::QuotaExceeded,
         retry_after_ms: Some(spread_ms(retry_after_ms)),
--- a/crates/quota/src/commands/cache.rs
+++ b/crates/quota/src/commands/cache.rs
@@ -42,6 +42,7 @@
         return ChargeOutcome::Refused(0);
     };
     record_demand(&mut account.demand, 1, now_ms);
+    account.arrived += 1;
     account.last_request_ms = now_ms;
     apply_terms(account, terms);
     match spend(account, now_ms) {
@@ -118,6 +119,7 @@
                 account: name.clone(),
                 needed,
                 ahead,
+                arrived: std::mem::take(&mut account.arrived),
             });
         }
     }
@@ -165,6 +167,7 @@
         terms: *terms,
         requests: Default::default(),
         waiting: 0,
+        arrived: 0,
         refused_until_ms: 0,
         retry_after_ms: 0,
         demand: DemandRate::default(),
--- a/crates/quota/src/commands/ledger.rs
+++ b/crates/quota/src/commands/ledger.rs
@@ -27,7 +27,7 @@
     pub grant: CreditGrant,
     /// Set if the account's requests begin to be refused.
     pub change: Option<RefusalChange>,
-    /// Requests a second that asked for credit.
+    /// Requests a second, refused ones included.
     pub demand_per_s: f64,
     /// Credit before the request, in thousandths of a request.
     pub credit_milli: u64,
@@ -64,7 +64,7 @@
         return TakeReceipt::default();
     };
     account.last_request_ms = now_ms;
-    record_demand(&mut account.demand, ask.needed, now_ms);
+    record_demand(&mut account.demand, ask.arrived, now_ms);
     let credit_nano: u64 = account.credit_nano.values().sum();
     let granted = (credit_nano / REQUEST_NANO).min(ask.needed.saturating_add(ask.ahead));
     spend(account, granted * REQUEST_NANO);
@@ -90,7 +90,7 @@
     }
 }
 
-/// Returns the accounts whose requests are no longer refused, with the requests a second that asked for credit, and drops
+/// Returns the accounts whose requests are no longer refused, with the requests a second that came, and drops
 /// those without recent requests.
 pub fn end_refusals(ledger: &mut QuotaLedger, now_ms: u64) -> Vec<(String, f64)> {
     evict_expired(ledger, now_ms);
--- a/crates/quota/src/credit_cache.rs
+++ b/crates/quota/src/credit_cache.rs
@@ -25,6 +25,8 @@
     pub(crate) requests: VecDeque<CachedRequests>,
     /// Requests that wait for the next call.
     pub(crate) waiting: u64,
+    /// Requests that have come since the quota owner was last asked.
+    pub(crate) arrived: u64,
     /// Time until which requests are refused without a call, in milliseconds.
     pub(crate) refused_until_ms: u64,
     /// Time after which refused requests may come again, in milliseconds.
@@ -52,6 +54,8 @@
     pub needed: u64,
     /// Requests that are expected soon.
     pub ahead: u64,
+    /// Requests that have come since it was last asked, refused ones included.
+    pub arrived: u64,
 }
 
 /// Answer to a [`CreditAsk`].
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -599,6 +599,7 @@
             account: account_name(request.account),
             needed: 1,
             ahead: 0,
+            arrived: 1,
         };
         let group = queries::account_group(&ask.account);
         let process = &mut self.processes[entry];
--- a/crates/quota/tests/quota.rs
+++ b/crates/quota/tests/quota.rs
@@ -8,6 +8,10 @@
         full_plan, play, random_fault, small_plan, AccountPlan, Fault, FaultKind, Outcome, Plan,
         Record, CHANGE_MS, RULE, WINDOW_MS,
     },
+    quota::{
+        commands::{self, TakeReceipt},
+        queries, CreditAsk, QuotaLedger, QuotaTerms, TimePart,
+    },
 };
 
 /// Most faults of a random run.
@@ -186,6 +190,42 @@
     }
 }
 
+/// Guards against refused requests that are asked to come again at once, or much later than there is credit: an account that
+/// sends 7 times its rate has the requests of 6 s to make up for with each second.
+#[test]
+fn retry_after_by_demand() {
+    let terms = QuotaTerms::new(&RULE, 20_000, 20);
+    let rate_per_s = terms.rate_nano as f64 / 1e9;
+    let mut ledger = QuotaLedger::default();
+    let mut last = TakeReceipt::default();
+    for step in 1..=100 {
+        let now_ms = step * 100;
+        let part = TimePart {
+            age_ms: 100,
+            time_ns: 100_000_000,
+        };
+        commands::add_time(&mut ledger, &[part], 0, now_ms);
+        let arrived = (rate_per_s * 7.0 / 10.0).round() as u64;
+        let ask = CreditAsk {
+            account: "hot".to_owned(),
+            needed: arrived,
+            ahead: 0,
+            arrived,
+        };
+        last = commands::take_credit(&mut ledger, &ask, &terms, now_ms);
+    }
+    assert!((rate_per_s * 6.5..rate_per_s * 7.5).contains(&last.demand_per_s));
+    assert_eq!(
+        last.grant.retry_after_ms, 5_000,
+        "six seconds, but five at most"
+    );
+    let idle_ms = queries::refill_ms(&terms, 0.0);
+    assert!(
+        (40..=60).contains(&idle_ms),
+        "one request at 20 a second: {idle_ms} ms"
+    );
+}
+
 /// Guards against two owners of a group, an owner that was lost, a process that stood still or a message that was late, each of
 /// which could make an account's requests exceed its quota.
 #[test]
