Let requests of accounts within their quota wait briefly for credit

Such a request now asks again until 0.4 s have passed; accounts above their quota are refused at once as before. Not yet measured.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -231,6 +231,12 @@
             PermitVerdict::NoServer => return refused(ResultCode::NoServer),
             PermitVerdict::NoBudget => return refused(ResultCode::RetryBudgetSpent),
             PermitVerdict::QuotaExceeded => {
+                let remaining_ms = time_left_ms(request.deadline);
+                if let Some(wait_ms) = charge.wait_ms(response.retry_after_ms, remaining_ms) {
+                    sleep(Duration::from_millis(wait_ms)).await;
+                    pending = PendingRequest::new(node, owner, &permit_request);
+                    continue;
+                }
                 return Some(Err(Refusal {
                     code: ResultCode::QuotaExceeded,
                     retry_after_ms: Some(spread_ms(response.retry_after_ms)),
--- a/crates/daemon/src/commands/quota_charge.rs
+++ b/crates/daemon/src/commands/quota_charge.rs
@@ -19,6 +19,14 @@
     wire::generated::{PermitCharge, PermitQuota, QuotaTime},
 };
 
+/// Longest time for which a request waits for credit in all, in milliseconds: half of the shortest target latency of routes that
+/// need keys, and about the time until credit arises again after a restart of all instances.
+const CREDIT_WAIT_MAX_MS: u64 = 400;
+/// Shortest time after which a request asks for credit again, in milliseconds: time is passed on every 100 ms.
+const CREDIT_WAIT_MIN_MS: u64 = 100;
+/// Part of the time left for which a request waits for credit at most (one in this many).
+const CREDIT_WAIT_DIVISOR: u64 = 4;
+
 /// What is known of a request's charge.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Charge {
@@ -28,6 +36,8 @@
     is_due: bool,
     /// Time until which the credit that paid for the request would be valid, in milliseconds; none if it is not charged.
     charged_until_ms: Option<u64>,
+    /// Time for which the request has waited for credit, in milliseconds.
+    waited_ms: u64,
 }
 
 impl Charge {
@@ -38,9 +48,23 @@
             is_limited: account.is_some_and(|account| quota_terms(node, account).is_some()),
             is_due: request.is_first,
             charged_until_ms: None,
+            waited_ms: 0,
         }
     }
 
+    /// Returns how long a request that found no credit waits before it asks again, in milliseconds; none if it is refused. It
+    /// waits if its account isn't above the quota, so that credit is only late: after a restart, or a change of owners.
+    pub(crate) fn wait_ms(&mut self, refill_ms: u64, remaining_ms: u64) -> Option<u64> {
+        let wait_ms = spread_ms(refill_ms.max(CREDIT_WAIT_MIN_MS));
+        let is_short = refill_ms <= CREDIT_WAIT_MAX_MS
+            && self.waited_ms + wait_ms <= CREDIT_WAIT_MAX_MS
+            && wait_ms <= remaining_ms / CREDIT_WAIT_DIVISOR;
+        is_short.then(|| {
+            self.waited_ms += wait_ms;
+            wait_ms
+        })
+    }
+
     /// Takes the charge, to pass it on with a permit request to `owner`, together with this instance's part of the time;
     /// none if the account has no limit.
     pub(crate) fn take(&mut self, node: &Node, owner: &str) -> Option<PermitQuota> {
