Add process tests of callers that don't complete requests

Callers that send most of a legal body and then stay connected make an instance buffer all of it, in buffers without a limit on their sum. The tests start one real process before the stand-in platform and servers, with a crowd of 300 connections, and check that it is alive, its VmHWM, its open descriptors, and that an ordinary request is answered while the crowd is connected.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -11,7 +11,7 @@
     hyper::{HeaderMap, Method, Request},
     hyper_util::{client::legacy::Client, rt::TokioExecutor},
     member::{BackendServer, Instance},
-    serde_json::json,
+    serde_json::{json, Value},
     standin::{Backend, BackendKnobs, FaultProxy, Platform, PortRange},
     std::{
         env, fs,
@@ -55,13 +55,33 @@
 impl Process {
     /// Returns the most memory that the process has used, in kilobytes.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
+        self.memory_kb("VmHWM:")
+    }
+
+    /// Returns the memory that the process uses now, in kilobytes.
+    pub(crate) fn current_memory_kb(&self) -> u64 {
+        self.memory_kb("VmRSS:")
+    }
+
+    fn memory_kb(&self, field: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("a running process");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let digits = peak.expect("a peak").trim().trim_end_matches(" kB");
+        let value = status.lines().find_map(|line| line.strip_prefix(field));
+        let digits = value.expect("a value").trim().trim_end_matches(" kB");
         digits.parse().expect("a number")
     }
 
+    /// Returns the number of the process's open descriptors.
+    pub(crate) fn descriptor_count(&self) -> usize {
+        let descriptors = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        descriptors.expect("a running process").count()
+    }
+
+    /// Returns whether the process has not ended.
+    pub(crate) fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
     pub(crate) fn signal(&self, signal: libc::c_int) {
         // SAFETY: `kill` takes no pointers, and the id is that of a child that was not waited for yet.
         unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
@@ -96,6 +116,11 @@
 impl Cluster {
     /// Starts a platform, two backend servers of one service and `count` instances; waits until they are ready.
     pub(crate) async fn new(test: &str, count: usize) -> Self {
+        Self::with_document(test, count, &config_document(2_000)).await
+    }
+
+    /// As [`Self::new`], with this configuration.
+    pub(crate) async fn with_document(test: &str, count: usize, document: &DocumentJson) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = Platform::new(any).await.expect("a platform");
         let dir = env::temp_dir().join(format!("catkinhitch-{test}-{}", std::process::id()));
@@ -118,9 +143,7 @@
             processes: Vec::new(),
             dir,
         };
-        cluster
-            .platform
-            .append_accepted_config(&config_document(2_000));
+        cluster.platform.append_accepted_config(document);
         for _ in 0..count {
             cluster.add_process().await;
         }
@@ -138,17 +161,22 @@
 
     /// Starts one more instance, which the member list doesn't have yet.
     pub(crate) async fn start_process(&mut self) {
-        self.start_process_with_policy("permits").await;
+        self.start_process_with(&[]).await;
     }
 
     /// Starts one more instance, which selects backend servers by that policy.
     pub(crate) async fn start_process_with_policy(&mut self, policy: &str) {
+        self.start_process_with(&[("policy", json!(policy))]).await;
+    }
+
+    /// Starts one more instance with these settings in addition to those of all instances.
+    pub(crate) async fn start_process_with(&mut self, additional: &[(&str, Value)]) {
         let name = format!("i{}", self.processes.len());
         let (caller, rpc, admin) = (free_address(), free_address(), free_address());
         let platform_proxy = FaultProxy::new(self.platform.address)
             .await
             .expect("a proxy");
-        let settings = json!({
+        let mut settings = json!({
             "instance": name,
             "data_centre": "a",
             "caller_address": caller.to_string(),
@@ -160,8 +188,10 @@
                 { "name": "finance", "token": "finance-token" },
             ],
             "drain_ms": 200,
-            "policy": policy,
         });
+        for (field, value) in additional {
+            settings[*field] = value.clone();
+        }
         let file = self.dir.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("a settings file");
         let child = Command::new(env!("CARGO_BIN_EXE_catkinhitchd"))
