--- a/crates/types/src/shards.rs
+++ b/crates/types/src/shards.rs
@@ -27,6 +27,13 @@
 }
 
 impl<State> Shards<State> {
+    /// Creates one shard with `state`, for state whose parts can't be told apart by a hash.
+    pub fn single(state: State) -> Self {
+        Self {
+            shards: Box::new([Mutex::new(state)]),
+        }
+    }
+
     /// Runs `work` on the shard selected by `hash`, holding only the lock of that shard.
     pub fn with<Output, Work>(&self, hash: u64, work: Work) -> Output
     where
