Bound what an instance holds for callers and servers

Cause: request bodies up to 512 KiB, and those without a length, were buffered completely before any decision, in buffers that double, and nobody kept their sum; neither was the number of connections limited. 300 callers that sent most of a body and stayed connected took 98 to 309 MB.

Change: the request path reserves what it holds in the ledger of the crate `memory` before it receives it. Bodies are kept in parts of 16 KiB that are not joined; buffered responses own their reservation until the caller has read them, and are forwarded while they are received if there is no room. Without room the caller with the least progress is evicted; if none is slow, the newcomer gets 503 with the new code 1208 (not run), before anything was forwarded. The number of connections, their kernel buffers and those of the connections to servers are limited.

An upload that stalls while other requests of its service wait for slots at this instance is stopped, so that its slot is free.

The progress of a caller is that of the last one or two half seconds.

Responses whose head is larger than 64 KiB are no longer accepted from servers; the limit was about 400 KiB.

--- a/crates/daemon/src/commands/assemble.rs
+++ b/crates/daemon/src/commands/assemble.rs
@@ -11,13 +11,16 @@
     },
     config::{AcceptedConfig, DetectionMode, Document, Service},
     entry::{
-        commands::handle_request, CallerResponse, ConnectionPool, HeaderConventions, Proxy,
-        RoutingConfig,
+        commands::handle_request, CallerResponse, ConnectionPool, HeaderConventions, MemoryBudget,
+        MemoryEvent, Proxy, RoutingConfig, SlotShortage,
     },
     feed::{ConfigPatch, Feed, Hooks},
     front::{AdminHandlers, CallerHandlers, CallerLimits},
+    log::info,
     member::Instance,
-    std::{sync::Arc, time::Duration},
+    memory::Limits,
+    serde_json::json,
+    std::{net::IpAddr, sync::Arc, time::Duration},
     stream::PublishedConfig,
     tokio::{sync::watch, time::sleep},
     types::ResultCode,
@@ -25,6 +28,8 @@
 
 /// Time between sweeps of idle connections, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
+/// Time between two checks of whether callers make too little progress while room is scarce, in milliseconds.
+const PROGRESS_INTERVAL_MS: u64 = 250;
 /// Deadline of a request that carries none, where the platform specifies none for its service, in
 /// milliseconds.
 const STORE_DEADLINE_MS: u64 = 600_000;
@@ -151,6 +156,7 @@
         slots: acquire::slot_policy(node),
         claims: claims::claims(node),
         connections: ConnectionPool::new(),
+        slot_shortage: SlotShortage::new(),
         conventions: if node.settings.uses_store {
             platform::header_conventions()
         } else {
@@ -188,6 +194,32 @@
     proxy
 }
 
+/// Creates the budget for what is held for callers and servers, and spawns the task that evicts slow callers.
+fn create_memory_budget(node: &Arc<Node>) -> Arc<MemoryBudget> {
+    let settings = &node.settings;
+    let limits = Limits::new(settings.memory_mb.into(), settings.descriptors_max.into());
+    let for_events = Arc::clone(node);
+    let on_event = move |event: MemoryEvent, source: IpAddr, held_bytes: u64| {
+        let name = event.as_str();
+        let counter = &for_events.metrics.memory_events;
+        counter.with_label_values(&[name]).inc();
+        let line = json!({ "event": name, "source": source, "held_bytes": held_bytes });
+        info!(target: "decision.memory", "{line}");
+    };
+    let budget = Arc::new(MemoryBudget::new(limits, Box::new(on_event)));
+    let (for_sweep, node) = (Arc::clone(&budget), Arc::clone(node));
+    tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(PROGRESS_INTERVAL_MS)).await;
+            for_sweep.evict_slow();
+            let (held_bytes, connections) = for_sweep.usage();
+            node.metrics.held_bytes.set(held_bytes as i64);
+            node.metrics.caller_connections.set(connections as i64);
+        }
+    });
+    budget
+}
+
 /// On a store platform, delays a request until the first configuration and member list are known, but not beyond
 /// [`START_WAIT_MS`] after the start of the process.
 async fn wait_for_first_configuration(node: &Node) {
@@ -231,6 +263,7 @@
                 idle_timeout_ms: limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms),
             }
         }),
+        memory: create_memory_budget(node),
         is_draining: Box::new(move || for_draining.stage() >= Stage::Draining),
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -57,6 +57,12 @@
     pub(crate) peer_calls: IntCounterVec,
     /// Bytes of other instances' responses, by method.
     pub(crate) peer_bytes: IntCounterVec,
+    /// Callers that were refused or evicted for want of memory or connections, by event.
+    pub(crate) memory_events: IntCounterVec,
+    /// Bytes held for bodies and responses beyond the connections' own part.
+    pub(crate) held_bytes: IntGauge,
+    /// Open connections from callers.
+    pub(crate) caller_connections: IntGauge,
 }
 
 impl Metrics {
@@ -135,6 +141,22 @@
                 "Bytes of other instances' responses",
                 &["method"],
             )?,
+            memory_events: counter_vec(
+                &registry,
+                "memory_events_total",
+                "Callers refused or evicted for want of memory or connections",
+                &["event"],
+            )?,
+            held_bytes: gauge(
+                &registry,
+                "held_bytes",
+                "Bytes held for bodies and responses",
+            )?,
+            caller_connections: gauge(
+                &registry,
+                "caller_connections",
+                "Open connections from callers",
+            )?,
             registry,
         })
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -29,6 +29,16 @@
 const RETRY_SLACK: u32 = 20;
 /// Default length of the window over which retries are counted, in milliseconds.
 const RETRY_WINDOW_MS: u64 = 10_000;
+/// Default memory of the instance, in MiB.
+const MEMORY_MB: u32 = 16_384;
+/// Default number of descriptors that the instance may have.
+const DESCRIPTORS_MAX: u32 = 16_384;
+/// Smallest number of descriptors with which an instance can serve callers.
+const DESCRIPTORS_LEAST: u32 = 256;
+/// Smallest memory with which an instance can serve callers, in MiB.
+const MEMORY_LEAST_MB: u32 = 32;
+/// Largest value of either.
+const MACHINE_MAX: u32 = 1 << 20;
 /// Maximum processor share, in thousandths of a core.
 const CAPACITY_MAX_PERMILLE: u32 = 1_000_000;
 /// Minimum length of a token, in characters.
@@ -103,6 +113,10 @@
     pub retry_slack: u32,
     /// Length of the window over which retries are counted, in milliseconds.
     pub retry_window_ms: u64,
+    /// Memory of the instance, in MiB.
+    pub memory_mb: u32,
+    /// Descriptors that the instance may have.
+    pub descriptors_max: u32,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -136,6 +150,8 @@
             retry_percent: RETRY_PERCENT,
             retry_slack: RETRY_SLACK,
             retry_window_ms: RETRY_WINDOW_MS,
+            memory_mb: MEMORY_MB,
+            descriptors_max: DESCRIPTORS_MAX,
             log_level: log::LevelFilter::Info,
         }
     }
@@ -192,6 +208,8 @@
             retry_window_ms: document
                 .retry_window_s
                 .map_or(RETRY_WINDOW_MS, |s| u64::from(to_thousandths(s))),
+            memory_mb: document.memory_mb.unwrap_or(MEMORY_MB),
+            descriptors_max: document.descriptors_max.unwrap_or(DESCRIPTORS_MAX),
             instance: document.instance,
             data_centre: document.data_centre,
         };
@@ -312,6 +330,16 @@
             "$.retry_window_s",
             "expected 1 to 60",
         );
+        self.require(
+            (MEMORY_LEAST_MB..=MACHINE_MAX).contains(&settings.memory_mb),
+            "$.memory_mb",
+            "expected 32 to 1048576",
+        );
+        self.require(
+            (DESCRIPTORS_LEAST..=MACHINE_MAX).contains(&settings.descriptors_max),
+            "$.descriptors_max",
+            "expected 256 to 1048576",
+        );
         for (index, principal) in settings.principals.iter().enumerate() {
             let path = format!("$.principals[{index}]");
             let is_long_enough = principal.token.chars().count() >= TOKEN_MIN_CHARS;
--- a/crates/entry/src/commands/attempts.rs
+++ b/crates/entry/src/commands/attempts.rs
@@ -146,7 +146,11 @@
             if !delay.is_zero() {
                 sleep(delay).await;
             }
-            Event::Granted((proxy.slots.acquire)(request).await, reason)
+            let (service, asked_at) = (request.service.clone(), Instant::now());
+            let result = (proxy.slots.acquire)(request).await;
+            let waited = asked_at.elapsed();
+            proxy.slot_shortage.record(&service, waited, result.is_ok());
+            Event::Granted(result, reason)
         }));
     }
 
--- a/crates/entry/src/commands/claimed.rs
+++ b/crates/entry/src/commands/claimed.rs
@@ -4,7 +4,9 @@
     crate::{
         commands::{attempts::run_attempts, exchange::RequestContext},
         CallerResponse, ClaimOutcome, ForwardedResponse, IdempotencyKey, Settlement,
+        StoredResponse,
     },
+    bytes::Bytes,
     std::sync::Arc,
     types::ExecutionStatus,
 };
@@ -30,7 +32,11 @@
 fn settlement(response: &CallerResponse) -> Settlement {
     match response {
         CallerResponse::Forwarded(ForwardedResponse::Buffered(stored)) => {
-            Settlement::Done(stored.clone())
+            // A copy, since the response itself is held for its caller until that one has read it.
+            Settlement::Done(StoredResponse {
+                body: Bytes::copy_from_slice(&stored.body),
+                ..stored.clone()
+            })
         }
         CallerResponse::Generated(code, _)
             if code.execution_status() == ExecutionStatus::NotRun =>
--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -6,11 +6,12 @@
     crate::{
         commands::permit::{AttemptReport, Permit},
         connection_pool::connect,
+        memory_budget::Hold,
         queries,
         request_log::RequestLog,
-        response::full_body,
-        AttemptOutcome, BoxedBody, Connection, Proxy, RequestBody, RequestHead, RequestPlan,
-        StoredResponse,
+        response::parts_body,
+        AttemptOutcome, BoxedBody, CallerConnection, Connection, Proxy, RequestBody, RequestHead,
+        RequestPlan, StoredResponse,
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
@@ -65,6 +66,8 @@
     pub(crate) head: Arc<RequestHead>,
     pub(crate) body: RequestBody,
     pub(crate) log: RequestLog,
+    /// Connection on which the request was received.
+    pub(crate) connection: Arc<CallerConnection>,
     /// Set when the caller disconnects.
     pub(crate) caller_left: Arc<AtomicBool>,
 }
@@ -102,7 +105,7 @@
 
 fn take_body(body: &RequestBody) -> Option<BoxedBody> {
     match body {
-        RequestBody::Buffered(bytes) => Some(full_body(bytes.clone())),
+        RequestBody::Buffered(body) => Some(parts_body(body.parts.clone())),
         RequestBody::Streamed(streamed) => streamed.take(),
     }
 }
@@ -231,16 +234,27 @@
         started,
     };
     let headers = queries::without_hop_by_hop_headers(&head.headers);
-    let mut buffer = BytesMut::new();
+    let known_bytes = if fits_buffer {
+        stream.body.size_hint().exact().unwrap_or(0)
+    } else {
+        0
+    };
+    let mut hold = context.connection.hold(known_bytes).await;
+    let buffered_bytes = hold.as_ref().map_or(0, |_| known_bytes as usize);
+    let mut buffer = BytesMut::with_capacity(buffered_bytes);
     loop {
         match stream.next().await {
             Ok(Some(data)) => buffer.extend_from_slice(&data),
             Ok(None) => {
+                let body = buffer.freeze();
                 return ExchangeOutcome::Completed(StoredResponse {
                     status: head.status,
                     headers,
-                    body: buffer.freeze(),
-                })
+                    body: match hold {
+                        Some(hold) => hold.attach_to(body),
+                        None => body,
+                    },
+                });
             }
             Err(_) => {
                 return ExchangeOutcome::Unknown {
@@ -248,8 +262,13 @@
                 }
             }
         }
-        if !fits_buffer && buffer.len() as u64 > context.plan.hold_bytes {
-            let mut response = Response::new(stream.into_body(buffer.freeze()));
+        // Without room for the whole response it is forwarded while it is received.
+        let has_room = match &mut hold {
+            Some(hold) => hold.grow_to(buffer.capacity() as u64).await,
+            None => false,
+        };
+        if !has_room || (!fits_buffer && buffer.len() as u64 > context.plan.hold_bytes) {
+            let mut response = Response::new(stream.into_body(buffer.freeze(), hold));
             *response.status_mut() = head.status;
             *response.headers_mut() = headers;
             return ExchangeOutcome::Streamed(Box::new(response));
@@ -310,13 +329,16 @@
         tokio::spawn(async move { proxy.connections.put_back(address, connection).await });
     }
 
-    fn into_body(self, buffer: Bytes) -> BoxedBody {
-        let frames = stream::try_unfold((self, Some(buffer)), |(mut stream, buffer)| async move {
+    /// Returns the body that consists of `buffer` and the rest. What is held for the buffer is held until the end, for the
+    /// buffers of the connection.
+    fn into_body(self, buffer: Bytes, hold: Option<Hold>) -> BoxedBody {
+        let start = (self, hold, Some(buffer));
+        let frames = stream::try_unfold(start, |(mut stream, hold, buffer)| async move {
             let data = match buffer {
                 Some(buffer) => Some(buffer),
                 None => stream.next().await?,
             };
-            Ok(data.map(|data| (Frame::data(data), (stream, None))))
+            Ok(data.map(|data| (Frame::data(data), (stream, hold, None))))
         });
         StreamBody::new(frames).boxed_unsync()
     }
--- a/crates/entry/src/commands/handle_request.rs
+++ b/crates/entry/src/commands/handle_request.rs
@@ -3,13 +3,16 @@
 use {
     crate::{
         commands::{
-            attempts::run_attempts, claimed::run_claimed, exchange::RequestContext,
-            request_body::read_request_body,
+            attempts::run_attempts,
+            claimed::run_claimed,
+            exchange::RequestContext,
+            request_body::{read_request_body, BodySource},
         },
         queries,
         request_log::{FinishOnDrop, RequestLog},
         CallerResponse, IncomingRequest, Proxy, RequestPlan, RoutingConfig,
     },
+    memory::Phase,
     std::{
         sync::{
             atomic::{AtomicBool, Ordering},
@@ -36,6 +39,9 @@
     incoming: IncomingRequest,
 ) -> CallerResponse {
     let received = incoming.received;
+    incoming.connection.begin_phase(Phase::Serving);
+    // Requests belong to no account yet.
+    incoming.connection.assign_account(None);
     let request_id = queries::request_id(&incoming.head.headers, &proxy.conventions);
     let finish_on_drop = FinishOnDrop(RequestLog::new(&request_id, config.version, received));
     let (service, response) =
@@ -69,7 +75,12 @@
     incoming: IncomingRequest,
     log: RequestLog,
 ) -> CallerResponse {
-    let reading = read_request_body(&plan, incoming.body, incoming.content_length_bytes);
+    let source = BodySource {
+        body: incoming.body,
+        content_length_bytes: incoming.content_length_bytes,
+        connection: &incoming.connection,
+    };
+    let reading = read_request_body(proxy, &plan, source);
     let reading = timeout_at(plan.deadline.into(), reading);
     let read = tokio::select! {
         biased;
@@ -91,6 +102,7 @@
         head: Arc::new(incoming.head),
         body,
         log,
+        connection: incoming.connection,
         caller_left: Arc::clone(&caller_left),
     };
     if idempotent {
--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -26,6 +26,11 @@
 const MAX_IDLE_PER_SERVER: usize = 4;
 /// Time after which an idle connection is closed, in milliseconds.
 const MAX_IDLE_MS: u64 = 5_000;
+/// Size of the kernel's buffer in each direction of a connection to a server, in bytes. What a server or a caller does not
+/// read must not fill the memory of the instance; this carries 200 Mbit/s between data centres.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+/// Largest buffer of the HTTP library for each direction, in bytes; also the largest head of a response.
+const HTTP_BUFFER_BYTES: usize = 64 * 1024;
 /// Timeout for opening a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 250;
 /// Time without a TCP acknowledgement after which the kernel closes a connection, in milliseconds; also the time
@@ -134,7 +139,13 @@
 /// The server can't be reached in time or the handshake fails; no request was sent.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<Connection> {
     let stream = connect_tcp(address, CONNECT_TIMEOUT_MS).await?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let socket = SockRef::from(&stream);
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(HTTP_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         // The exchange on this connection returns the same error.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,22 +8,28 @@
 pub mod commands;
 mod connection_pool;
 mod conventions;
+mod memory_budget;
 mod proxy;
 pub mod queries;
 mod request;
 mod request_log;
 mod response;
+mod slot_shortage;
 
 pub use crate::{
     connection_pool::{connect_tcp, Connection, ConnectionPool},
     conventions::HeaderConventions,
+    memory_budget::{
+        CallerConnection, MeasuredBody, MemoryBudget, MemoryEvent, OnMemoryEvent, OpenConnection,
+    },
     proxy::{
         AcquireRequest, AttemptOutcome, ClaimOutcome, Claims, Grant, OnResponse, OnRetry, Proxy,
         RecordNotice, Refusal, Release, Settlement, SlotPolicy,
     },
     request::{
-        IdempotencyKey, IncomingRequest, RequestBody, RequestHead, RequestPlan, RoutingConfig,
-        StreamedBody,
+        BufferedBody, IdempotencyKey, IncomingRequest, RequestBody, RequestHead, RequestPlan,
+        RoutingConfig, StreamedBody,
     },
     response::{BoxedBody, CallerResponse, ForwardedResponse, StoredResponse},
+    slot_shortage::SlotShortage,
 };
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,7 +1,7 @@
 //! Dependencies of the request path, as structs of closures.
 
 use {
-    crate::{ConnectionPool, HeaderConventions, StoredResponse},
+    crate::{ConnectionPool, HeaderConventions, SlotShortage, StoredResponse},
     claim::KeyDigest,
     futures_util::future::BoxFuture,
     member::ServerNotice,
@@ -193,6 +193,8 @@
     pub claims: Claims,
     /// Connections to backend servers.
     pub connections: ConnectionPool,
+    /// Services whose requests wait for slots.
+    pub slot_shortage: SlotShortage,
     /// Header names and response validity rules.
     pub conventions: HeaderConventions,
     /// By when every request must have its response, because the process ends; none while it isn't known to.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests as the request path receives and classifies them.
 
 use {
-    crate::BoxedBody,
+    crate::{memory_budget::Hold, BoxedBody, CallerConnection},
     bytes::Bytes,
     claim::KeyDigest,
     config::{Document, DocumentIndex},
@@ -34,6 +34,8 @@
     pub content_length_bytes: Option<u64>,
     /// When the request was received.
     pub received: Instant,
+    /// Connection on which it was received.
+    pub connection: Arc<CallerConnection>,
 }
 
 /// The configuration that a request is handled with.
@@ -83,8 +85,7 @@
     pub hold_bytes: u64,
 }
 
-/// Largest request body that is buffered, in bytes. A request occupies no slot while its body is buffered, and a
-/// hundred buffered bodies fit into a quarter of the smallest instance's memory.
+/// Largest request body that is buffered, in bytes. A request occupies no slot while its body is buffered.
 pub(crate) const MAX_BUFFERED_BODY_BYTES: u64 = 512 * 1024;
 
 /// A streamed body, taken by the first attempt that has a connection.
@@ -112,11 +113,26 @@
     }
 }
 
+/// A body in memory. Its parts are not joined, which would need twice the memory for a moment.
+#[derive(Clone, Debug)]
+pub struct BufferedBody {
+    pub(crate) parts: Vec<Bytes>,
+    /// What counts the parts as held; released with the last clone.
+    pub(crate) _hold: Option<Arc<Hold>>,
+}
+
+impl BufferedBody {
+    /// Returns the size in bytes.
+    pub(crate) fn len_bytes(&self) -> u64 {
+        self.parts.iter().map(|part| part.len() as u64).sum()
+    }
+}
+
 /// A request body to be sent to backend servers.
 #[derive(Clone, Debug)]
 pub enum RequestBody {
     /// In memory; can be sent by several attempts.
-    Buffered(Bytes),
+    Buffered(BufferedBody),
     /// Streamed from the caller; can be sent by one attempt.
     Streamed(StreamedBody),
 }
@@ -126,7 +142,7 @@
     /// that is buffered.
     pub fn buffered_bytes(&self) -> u64 {
         match self {
-            Self::Buffered(bytes) => bytes.len() as u64,
+            Self::Buffered(body) => body.len_bytes(),
             Self::Streamed(_) => MAX_BUFFERED_BODY_BYTES,
         }
     }
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -4,10 +4,16 @@
     bytes::Bytes,
     http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full},
     hyper::{
+        body::{Body, Frame, SizeHint},
         header::{HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER},
         HeaderMap, Response, StatusCode,
     },
-    std::{convert::Infallible, io},
+    std::{
+        convert::Infallible,
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+    },
     types::ResultCode,
     wire::{generated::ResultBody, to_json},
 };
@@ -27,6 +33,9 @@
 /// about the time that an instance needs to learn of either.
 const RETRY_AFTER_UNAVAILABLE_MS: u64 = 500;
 
+/// Size of the parts in which a buffered response is sent, in bytes.
+const SENT_PART_BYTES: usize = 16 * 1024;
+
 /// A complete response in memory, which can be sent more than once.
 #[derive(Clone, Debug)]
 pub struct StoredResponse {
@@ -83,7 +92,7 @@
     pub fn into_response(self) -> Response<BoxedBody> {
         match self {
             Self::Forwarded(ForwardedResponse::Buffered(stored)) => {
-                let mut response = Response::new(full_body(stored.body));
+                let mut response = Response::new(divided_body(stored.body));
                 *response.status_mut() = stored.status;
                 *response.headers_mut() = stored.headers;
                 with_outcome_headers(response, ResultCode::Answered)
@@ -103,6 +112,54 @@
         .boxed_unsync()
 }
 
+/// A body of parts in memory, whose size is known.
+struct PartsBody {
+    parts: std::vec::IntoIter<Bytes>,
+    remaining_bytes: u64,
+}
+
+impl Body for PartsBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let part = self.parts.next();
+        self.remaining_bytes -= part.as_ref().map_or(0, |part| part.len() as u64);
+        Poll::Ready(part.map(|part| Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.remaining_bytes == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.remaining_bytes)
+    }
+}
+
+/// Creates a body from parts in memory.
+pub(crate) fn parts_body(parts: Vec<Bytes>) -> BoxedBody {
+    let remaining_bytes = parts.iter().map(|part| part.len() as u64).sum();
+    PartsBody {
+        parts: parts.into_iter(),
+        remaining_bytes,
+    }
+    .boxed_unsync()
+}
+
+/// Creates a body from bytes in memory, in parts, so that a caller that reads them makes progress.
+fn divided_body(mut body: Bytes) -> BoxedBody {
+    let mut parts = Vec::with_capacity(body.len() / SENT_PART_BYTES + 1);
+    while body.len() > SENT_PART_BYTES {
+        parts.push(body.split_to(SENT_PART_BYTES));
+    }
+    parts.push(body);
+    parts_body(parts)
+}
+
 fn generated_response(code: ResultCode, retry_after_ms: Option<u64>) -> Response<BoxedBody> {
     let body = ResultBody {
         code: code.number().into(),
--- a/crates/front/src/commands/callers.rs
+++ b/crates/front/src/commands/callers.rs
@@ -8,7 +8,7 @@
         commands::read_ahead::{discard_rest, read_ahead, READ_AHEAD_BYTES},
         CallerHandlers,
     },
-    entry::{BoxedBody, IncomingRequest, RequestHead},
+    entry::{BoxedBody, CallerConnection, IncomingRequest, MeasuredBody, RequestHead},
     http_body_util::BodyExt,
     hyper::{
         body::{Body as _, Incoming as HyperBody},
@@ -21,22 +21,29 @@
         rt::{TokioIo, TokioTimer},
         server::graceful::GracefulShutdown,
     },
+    memory::Phase,
+    socket2::SockRef,
     std::{
         convert::Infallible,
         future::Future,
         io,
+        net::IpAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
         io::{join, simplex},
         net::{TcpListener, TcpStream},
+        task::yield_now,
         time::{sleep, timeout},
     },
 };
 
 /// Smallest read buffer that hyper accepts, in bytes; lower limits for request heads are raised to it.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Response on a connection that can't be served; its request is not read. The numbers are those of `NoRoom`.
+const NO_PLACE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncatkinhitch-code: 1208\r\n\
+    catkinhitch-outcome: not-run\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Delay after a failed accept, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 10;
 
@@ -51,11 +58,16 @@
     Stop: Future<Output = ()>,
 {
     let graceful = GracefulShutdown::new();
+    limit_socket_buffers(&listener, &callers);
     tokio::pin!(stop);
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => serve_connection(stream, &callers, &graceful),
+                Ok((stream, peer)) => {
+                    serve_connection(stream, peer.ip(), &callers, &graceful);
+                    // An evicted connection closes before the next one is accepted.
+                    yield_now().await;
+                }
                 // Most likely the process is out of file descriptors, and other connections must close first.
                 Err(_) => sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await,
             },
@@ -74,16 +86,39 @@
     }
 }
 
-fn serve_connection(stream: TcpStream, callers: &Arc<CallerHandlers>, graceful: &GracefulShutdown) {
+/// Limits what the kernel holds for the connections that are accepted, since it counts toward the instance's memory.
+fn limit_socket_buffers(listener: &TcpListener, callers: &CallerHandlers) {
+    let socket = SockRef::from(listener);
+    let buffer_bytes = callers.memory.limits().socket_buffer_bytes as usize;
+    let limited = socket
+        .set_recv_buffer_size(buffer_bytes)
+        .and_then(|()| socket.set_send_buffer_size(buffer_bytes));
+    if let Err(error) = limited {
+        log::warn!("failed to limit the socket buffers of callers' connections: {error}");
+    }
+}
+
+fn serve_connection(
+    stream: TcpStream,
+    source: IpAddr,
+    callers: &Arc<CallerHandlers>,
+    graceful: &GracefulShutdown,
+) {
+    let Some(open) = callers.memory.open(source) else {
+        // Whether the caller gets it makes no difference: nothing was run.
+        let _ = stream.try_write(NO_PLACE);
+        return;
+    };
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY on a caller's connection: {error}");
         return;
     }
     let callers = Arc::clone(callers);
     let limits = (callers.limits)();
+    let connection = Arc::clone(open.connection());
     let service = service_fn(move |request| {
-        let callers = Arc::clone(&callers);
-        async move { Ok::<_, Infallible>(handle_request(&callers, request).await) }
+        let (callers, connection) = (Arc::clone(&callers), Arc::clone(&connection));
+        async move { Ok::<_, Infallible>(handle_request(&callers, connection, request).await) }
     });
     let (mut reader, writer) = stream.into_split();
     let (requests, mut sink) = simplex(READ_AHEAD_BYTES);
@@ -98,6 +133,7 @@
         // Dropping the connection also cancels the request that is being handled.
         let served = tokio::select! {
             served = watched => served,
+            () = open.connection().must_close() => return,
             () = read_ahead(&mut reader, &mut sink) => return,
         };
         match served {
@@ -109,6 +145,7 @@
 
 async fn handle_request(
     callers: &CallerHandlers,
+    connection: Arc<CallerConnection>,
     request: Request<HyperBody>,
 ) -> Response<BoxedBody> {
     let received = Instant::now();
@@ -123,8 +160,12 @@
         body: body.map_err(io::Error::other).boxed_unsync(),
         content_length_bytes,
         received,
+        connection: Arc::clone(&connection),
     };
-    let mut response = (callers.handle)(incoming).await.into_response();
+    let response = (callers.handle)(incoming).await.into_response();
+    connection.begin_phase(Phase::Open);
+    let mut response =
+        response.map(|body| MeasuredBody::of_response(body, &connection).boxed_unsync());
     if (callers.is_draining)() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
--- a/crates/front/src/commands/read_ahead.rs
+++ b/crates/front/src/commands/read_ahead.rs
@@ -12,7 +12,7 @@
 };
 
 /// Bytes read ahead; a caller that has sent more has to wait until a request was handled.
-pub(crate) const READ_AHEAD_BYTES: usize = 32 * 1024;
+pub(crate) const READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Time allowed for the caller to close its side of a connection that was closed here, in milliseconds.
 const LINGER_MS: u64 = 1_000;
 
--- a/crates/front/src/handlers.rs
+++ b/crates/front/src/handlers.rs
@@ -1,8 +1,9 @@
 //! Handlers of the front ends, as structs of closures.
 
 use {
-    entry::{CallerResponse, IncomingRequest},
+    entry::{CallerResponse, IncomingRequest, MemoryBudget},
     futures_util::future::BoxFuture,
+    std::sync::Arc,
     wire::generated::{
         AdminResponse, ConfigView, DecideRequest, HistoryJson, ProposeRequest, StatusReport,
     },
@@ -23,6 +24,8 @@
     pub handle: Box<dyn Fn(IncomingRequest) -> BoxFuture<'static, CallerResponse> + Send + Sync>,
     /// Returns the limits for new connections.
     pub limits: Box<dyn Fn() -> CallerLimits + Send + Sync>,
+    /// What the instance may hold for callers and servers.
+    pub memory: Arc<MemoryBudget>,
     /// Returns whether the instance is draining, in which case connections are closed after their response.
     pub is_draining: Box<dyn Fn() -> bool + Send + Sync>,
 }
--- a/crates/memory/src/commands.rs
+++ b/crates/memory/src/commands.rs
@@ -93,7 +93,7 @@
     Some(Opened { id, evicted })
 }
 
-/// Removes a connection; what it holds counts until it is released.
+/// Records that a connection is closed. Its request may go on, and what it holds counts until it is released.
 pub fn close<Handle>(ledger: &mut Ledger<Handle>, id: ConnectionId) {
     let Some(connection) = ledger.connections.get_mut(&id) else {
         return;
@@ -104,7 +104,6 @@
             used.connections -= 1;
         }
     }
-    forget_unused(ledger, id);
 }
 
 /// Records that a request or a response begins: progress is measured anew.
@@ -236,7 +235,6 @@
     if let Some(account) = account {
         subtract_account(ledger, &account, freed_bytes);
     }
-    forget_unused(ledger, id);
 }
 
 /// Evicts the connections that hold room and make too little progress, while room is scarce; those with the least progress
@@ -339,15 +337,14 @@
     }
 }
 
-/// Removes the entries of a closed connection that holds nothing, and of its source address if it has no other.
-fn forget_unused<Handle>(ledger: &mut Ledger<Handle>, id: ConnectionId) {
+/// Removes a connection that is closed and holds nothing any more.
+pub fn remove<Handle>(ledger: &mut Ledger<Handle>, id: ConnectionId) {
     let Some(connection) = ledger.connections.get(&id) else {
         return;
     };
-    if !connection.is_closed || connection.held_bytes > 0 {
-        return;
-    }
-    let source = connection.source;
+    let (source, held_bytes) = (connection.source, connection.held_bytes);
+    close(ledger, id);
+    release(ledger, id, held_bytes);
     ledger.connections.remove(&id);
     let used = ledger.sources.get(&source);
     if used.is_some_and(|used| used.connections == 0 && used.room_bytes == 0) {
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -27,9 +27,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Progress {
     /// Start of the former period, in milliseconds.
-    pub(crate) since_ms: u64,
+    since_ms: u64,
     /// Bytes since then.
-    pub(crate) bytes: u64,
+    bytes: u64,
     /// Start of the current period, in milliseconds.
     current_since_ms: u64,
     /// Bytes of the current period.
@@ -55,6 +55,20 @@
         self.current_since_ms += skipped_ms;
     }
 
+    /// Returns the bytes a second, over the last one or two periods.
+    pub(crate) fn per_s(&self, now_ms: u64) -> u64 {
+        let current_ms = now_ms.saturating_sub(self.current_since_ms);
+        let (bytes, span_ms) = if current_ms < PERIOD_MS {
+            (self.bytes, now_ms.saturating_sub(self.since_ms))
+        } else if current_ms < 2 * PERIOD_MS {
+            (self.current_bytes, current_ms)
+        } else {
+            // What was recorded in the current period is older than a whole one.
+            (0, current_ms)
+        };
+        bytes * 1_000 / span_ms.max(PERIOD_MS)
+    }
+
     pub(crate) fn record(&mut self, bytes: u64, now_ms: u64) {
         if now_ms.saturating_sub(self.current_since_ms) >= PERIOD_MS {
             self.since_ms = self.current_since_ms;
@@ -82,7 +96,7 @@
     pub(crate) progress: Progress,
     pub(crate) held_bytes: u64,
     pub(crate) is_evicted: bool,
-    /// Whether the connection is closed; the entry stays until everything is released.
+    /// Whether the connection is closed; its request may go on.
     pub(crate) is_closed: bool,
 }
 
--- a/crates/memory/src/limits.rs
+++ b/crates/memory/src/limits.rs
@@ -19,13 +19,15 @@
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// Descriptors for each caller's connection: its own and that of the exchange with a server.
 const DESCRIPTORS_PER_CONNECTION: u64 = 2;
-/// Memory of a connection besides the kernel's receive buffer: read-ahead, HTTP buffers, task, covered bytes.
+/// Memory of a connection besides the kernel's buffers: read-ahead, HTTP buffers, task, covered bytes.
 const CONNECTION_BYTES: u64 = 64 << 10;
-/// Receive buffer for each MiB of the instance's memory, in bytes. 512 MiB give 128 KiB, enough for 200 Mbit/s at a
-/// distance of 3 ms.
-const RECEIVE_BYTES_PER_MB: u64 = 256;
-/// Smallest and largest receive buffer, in bytes.
-const RECEIVE_BYTES: (u64, u64) = (16 << 10, 128 << 10);
+/// Size of the kernel's buffer in each direction for each MiB of the instance's memory, in bytes. 512 MiB give 96 KiB, which
+/// carry 128 Mbit/s over a distance of 3 ms.
+const SOCKET_BYTES_PER_MB: u64 = 192;
+/// Smallest and largest size of a kernel's buffer, in bytes.
+const SOCKET_BYTES: (u64, u64) = (16 << 10, 128 << 10);
+/// The kernel uses up to twice the size of a buffer, and there is one in each direction.
+const SOCKET_FACTOR: u64 = 4;
 /// Part of the room that one connection may use (one in this many).
 const CONNECTION_SHARE_DIVISOR: u64 = 8;
 /// Least share of a connection: a buffered request and a buffered response, in bytes.
@@ -44,8 +46,10 @@
     pub connections_max: usize,
     /// Connections from one source address.
     pub source_connections_max: usize,
-    /// Receive buffer of a caller's connection, in bytes; the kernel uses up to twice as much.
-    pub receive_buffer_bytes: u64,
+    /// Size of the kernel's buffer in each direction of a caller's connection, in bytes; it uses up to twice as much.
+    pub socket_buffer_bytes: u64,
+    /// Memory that a connection may use without using room, in bytes.
+    pub own_bytes: u64,
     /// Bytes for bodies and responses beyond what the connections' own part covers.
     pub room_bytes: u64,
     /// Share of one connection, in bytes.
@@ -62,19 +66,20 @@
     /// Derives the limits of an instance with `memory_mb` MiB of memory and `descriptors_max` descriptors.
     pub fn new(memory_mb: u64, descriptors_max: u64) -> Self {
         let budget_bytes = (memory_mb << 20) / BUDGET_DIVISOR;
-        let receive_buffer_bytes =
-            (memory_mb * RECEIVE_BYTES_PER_MB).clamp(RECEIVE_BYTES.0, RECEIVE_BYTES.1);
-        let one_bytes = CONNECTION_BYTES + 2 * receive_buffer_bytes;
-        let by_memory = budget_bytes / CONNECTIONS_DIVISOR / one_bytes;
+        let socket_buffer_bytes =
+            (memory_mb * SOCKET_BYTES_PER_MB).clamp(SOCKET_BYTES.0, SOCKET_BYTES.1);
+        let own_bytes = CONNECTION_BYTES + SOCKET_FACTOR * socket_buffer_bytes;
+        let by_memory = budget_bytes / CONNECTIONS_DIVISOR / own_bytes;
         let by_descriptors =
             descriptors_max.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CONNECTION;
         let connections = by_memory.min(by_descriptors).max(1);
-        let room_bytes = budget_bytes.saturating_sub(connections * one_bytes);
+        let room_bytes = budget_bytes.saturating_sub(connections * own_bytes);
         let percent = |whole: u64, percent: u64| whole * percent / 100;
         Self {
             connections_max: connections as usize,
             source_connections_max: percent(connections, SOURCE_SHARE_PERCENT).max(1) as usize,
-            receive_buffer_bytes,
+            socket_buffer_bytes,
+            own_bytes,
             room_bytes,
             connection_bytes: (room_bytes / CONNECTION_SHARE_DIVISOR)
                 .max(CONNECTION_SHARE_MIN_BYTES),
--- a/crates/memory/src/queries.rs
+++ b/crates/memory/src/queries.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{
-        ledger::Progress,
-        limits::{GRACE_MS, MIN_PROGRESS_BYTES_PER_S, PERIOD_MS},
+        limits::{GRACE_MS, MIN_PROGRESS_BYTES_PER_S},
         Connection, ConnectionId, Ledger, Phase,
     },
     std::net::IpAddr,
@@ -65,11 +64,7 @@
 /// Returns the progress of a connection in bytes a second; `None` if it is too new to be judged.
 pub(crate) fn progress_per_s<Handle>(connection: &Connection<Handle>, now_ms: u64) -> Option<u64> {
     let age_ms = now_ms.saturating_sub(connection.judged_since_ms);
-    let Progress {
-        since_ms, bytes, ..
-    } = connection.progress;
-    let span_ms = now_ms.saturating_sub(since_ms).max(PERIOD_MS);
-    (age_ms >= GRACE_MS).then_some(bytes * 1_000 / span_ms)
+    (age_ms >= GRACE_MS).then(|| connection.progress.per_s(now_ms))
 }
 
 /// Returns whether a connection waits for its caller, whose progress has been too slow.
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -75,6 +75,7 @@
     DeadlineNotRun = 1205, 503, NotRun, "The deadline passed before any backend server was given the request.";
     Stopping = 1206, 503, NotRun, "This instance is stopping.";
     OldConfiguration = 1207, 503, NotRun, "No route matches, but this instance's configuration may be out of date.";
+    NoRoom = 1208, 503, NotRun, "This instance has no room for the request's body, or its caller sends it too slowly.";
     KeyUnclaimed = 1301, 503, NotRun, "The idempotency key could not be claimed; try again later.";
     KeyTooOld = 1302, 409, NotRun, "The idempotency key is older than the claim window.";
     KeyElsewhereUnknown = 1303, 409, Unknown, "The key was claimed before and its answer can't be had.";
