Reject a response cut off by a reset while an upload is being written

A server answered an upload at once with a response without a length, sent a part of it, and closed the connection while the upload was being written, so that its system reset it. The HTTP library read the end of the connection before the reset, which ends such a body regularly, and the caller got the part as a complete response.

A response that only the end of its connection ends is now complete only if the connection had taken the whole request and ended without an error. Otherwise it counts as truncated: outcome unknown, or the caller's connection is aborted if a part was forwarded.

handle_request_reset_during_upload plays a reset, a close, and an end of the server's side followed by a reset.

--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -17,16 +17,18 @@
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
     hyper::{
-        body::{Body as _, Frame, Incoming},
+        body::{Body, Frame, Incoming, SizeHint},
         Request, Response, StatusCode, Uri,
     },
     member::ServerNotice,
     std::{
         io,
+        pin::Pin,
         sync::{
             atomic::{AtomicBool, Ordering},
             Arc,
         },
+        task::{Context, Poll},
         time::{Duration, Instant},
     },
     tokio::time::timeout_at,
@@ -95,12 +97,55 @@
             }
         },
     };
+    let is_body_sent = Arc::new(AtomicBool::new(false));
     let Some(body) = take_body(&context.body) else {
         // Another attempt has taken the streamed body, so nothing is sent.
         permit.release_inconclusive();
         return ExchangeOutcome::NotConnected;
     };
-    send(context, permit, connection, body).await
+    let body = SentBody::new(body, &is_body_sent).boxed_unsync();
+    send(context, permit, connection, body, is_body_sent).await
+}
+
+/// A request's body that records when all of it was taken by the connection.
+struct SentBody {
+    body: BoxedBody,
+    is_sent: Arc<AtomicBool>,
+}
+
+impl SentBody {
+    fn new(body: BoxedBody, is_sent: &Arc<AtomicBool>) -> Self {
+        // An empty body is not asked for data.
+        is_sent.store(body.is_end_stream(), Ordering::SeqCst);
+        Self {
+            body,
+            is_sent: Arc::clone(is_sent),
+        }
+    }
+}
+
+impl Body for SentBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.is_sent.store(true, Ordering::SeqCst);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 fn take_body(body: &RequestBody) -> Option<BoxedBody> {
@@ -115,6 +160,7 @@
     permit: &Arc<Permit>,
     mut connection: Connection,
     body: BoxedBody,
+    is_body_sent: Arc<AtomicBool>,
 ) -> ExchangeOutcome {
     let started = Instant::now();
     let request = build_request(context, permit, body);
@@ -168,7 +214,16 @@
         };
     }
     let report = report(outcome_of_status(response.status()));
-    receive_response(context, permit, connection, response, report, started).await
+    let stream = ResponseStream {
+        context: context.clone(),
+        permit: Arc::clone(permit),
+        connection: Some(connection),
+        is_close_delimited: queries::is_close_delimited(&response, &context.head.method),
+        is_body_sent,
+        report,
+        started,
+    };
+    receive_response(stream, response).await
 }
 
 fn build_request(context: &RequestContext, permit: &Permit, body: BoxedBody) -> Request<BoxedBody> {
@@ -213,37 +268,20 @@
 }
 
 async fn receive_response(
-    context: &RequestContext,
-    permit: &Arc<Permit>,
-    connection: Connection,
+    mut stream: ResponseStream,
     response: Response<Incoming>,
-    report: AttemptReport,
-    started: Instant,
 ) -> ExchangeOutcome {
-    let (head, body) = response.into_parts();
-    let fits_buffer = body
-        .size_hint()
-        .exact()
-        .is_some_and(|bytes| bytes <= context.plan.hold_bytes);
-    let mut stream = ResponseStream {
-        context: context.clone(),
-        permit: Arc::clone(permit),
-        connection: Some(connection),
-        body,
-        report,
-        started,
-    };
+    let (head, mut body) = response.into_parts();
+    let hold_bytes = stream.context.plan.hold_bytes;
+    let exact_bytes = body.size_hint().exact();
+    let fits_buffer = exact_bytes.is_some_and(|bytes| bytes <= hold_bytes);
     let headers = queries::without_hop_by_hop_headers(&head.headers);
-    let known_bytes = if fits_buffer {
-        stream.body.size_hint().exact().unwrap_or(0)
-    } else {
-        0
-    };
-    let mut hold = context.connection.hold(known_bytes).await;
+    let known_bytes = exact_bytes.filter(|_| fits_buffer).unwrap_or(0);
+    let mut hold = stream.context.connection.hold(known_bytes).await;
     let buffered_bytes = hold.as_ref().map_or(0, |_| known_bytes as usize);
     let mut buffer = BytesMut::with_capacity(buffered_bytes);
     loop {
-        match stream.next().await {
+        match stream.next(&mut body).await {
             Ok(Some(data)) => buffer.extend_from_slice(&data),
             Ok(None) => {
                 let body = buffer.freeze();
@@ -267,8 +305,8 @@
             Some(hold) => hold.grow_to(buffer.capacity() as u64).await,
             None => false,
         };
-        if !has_room || (!fits_buffer && buffer.len() as u64 > context.plan.hold_bytes) {
-            let mut response = Response::new(stream.into_body(buffer.freeze(), hold));
+        if !has_room || (!fits_buffer && buffer.len() as u64 > hold_bytes) {
+            let mut response = Response::new(stream.into_body(body, buffer.freeze(), hold));
             *response.status_mut() = head.status;
             *response.headers_mut() = headers;
             return ExchangeOutcome::Streamed(Box::new(response));
@@ -281,18 +319,22 @@
     context: RequestContext,
     permit: Arc<Permit>,
     connection: Option<Connection>,
-    body: Incoming,
+    /// Whether the body ends with the connection.
+    is_close_delimited: bool,
+    /// Whether the connection has taken the whole request.
+    is_body_sent: Arc<AtomicBool>,
     report: AttemptReport,
     started: Instant,
 }
 
 impl ResponseStream {
     /// Reads the next data. A complete body returns the connection to the pool, an error closes it, as does a body that
-    /// goes on past the request's deadline, since it may have no end.
-    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+    /// goes on past the request's deadline, since it may have no end. A body that ends with the connection is complete only if
+    /// the server had received the whole request: a reset that follows its part of a response may be read as a regular end.
+    async fn next(&mut self, body: &mut Incoming) -> io::Result<Option<Bytes>> {
         let end = self.context.plan.deadline + Duration::from_millis(BODY_GRACE_MS);
         loop {
-            let frame = match timeout_at(end.into(), self.body.frame()).await {
+            let frame = match timeout_at(end.into(), body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) => return Err(self.fail(io::ErrorKind::TimedOut.into())),
             };
@@ -304,6 +346,9 @@
                 }
                 Some(Err(error)) => return Err(self.fail(io::Error::other(error))),
                 None => {
+                    if self.is_close_delimited && !self.ended_regularly().await {
+                        return Err(self.fail(io::ErrorKind::ConnectionReset.into()));
+                    }
                     self.finish();
                     return Ok(None);
                 }
@@ -311,6 +356,15 @@
         }
     }
 
+    async fn ended_regularly(&mut self) -> bool {
+        match &mut self.connection {
+            Some(connection) if self.is_body_sent.load(Ordering::SeqCst) => {
+                connection.ended_regularly().await
+            }
+            _ => false,
+        }
+    }
+
     fn fail(&mut self, error: io::Error) -> io::Error {
         self.connection = None;
         self.permit
@@ -331,14 +385,14 @@
 
     /// Returns the body that consists of `buffer` and the rest. What is held for the buffer is held until the end, for the
     /// buffers of the connection.
-    fn into_body(self, buffer: Bytes, hold: Option<Hold>) -> BoxedBody {
-        let start = (self, hold, Some(buffer));
-        let frames = stream::try_unfold(start, |(mut stream, hold, buffer)| async move {
+    fn into_body(self, body: Incoming, buffer: Bytes, hold: Option<Hold>) -> BoxedBody {
+        let start = (self, body, hold, Some(buffer));
+        let frames = stream::try_unfold(start, |(mut stream, mut body, hold, buffer)| async move {
             let data = match buffer {
                 Some(buffer) => Some(buffer),
-                None => stream.next().await?,
+                None => stream.next(&mut body).await?,
             };
-            Ok(data.map(|data| (Frame::data(data), (stream, hold, None))))
+            Ok(data.map(|data| (Frame::data(data), (stream, body, hold, None))))
         });
         StreamBody::new(frames).boxed_unsync()
     }
--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -33,6 +33,8 @@
 const HTTP_BUFFER_BYTES: usize = 64 * 1024;
 /// Timeout for opening a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Time allowed for a connection to end after its server has ended it, in milliseconds.
+const END_TIMEOUT_MS: u64 = 250;
 /// Time without a TCP acknowledgement after which the kernel closes a connection, in milliseconds; also the time
 /// without traffic after which it sends keep-alive probes.
 const USER_TIMEOUT_MS: u64 = 5_000;
@@ -41,12 +43,21 @@
 #[derive(Debug)]
 pub struct Connection {
     pub(crate) sender: SendRequest<BoxedBody>,
-    driver: JoinHandle<()>,
+    /// Returns whether the connection ended without an error.
+    driver: JoinHandle<bool>,
     /// Whether the connection served an earlier exchange.
     pub reused: bool,
     opened_at: Instant,
 }
 
+impl Connection {
+    /// Waits for the end of the connection; returns whether everything was written and it ended without an error.
+    pub(crate) async fn ended_regularly(&mut self) -> bool {
+        let limit = Duration::from_millis(END_TIMEOUT_MS);
+        matches!(timeout(limit, &mut self.driver).await, Ok(Ok(true)))
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -147,10 +158,8 @@
         .handshake(TokioIo::new(stream))
         .await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
-    let driver = tokio::spawn(async move {
-        // The exchange on this connection returns the same error.
-        let _ = connection.await;
-    });
+    // The exchange on this connection returns the same error, unless the response had ended before.
+    let driver = tokio::spawn(async move { connection.await.is_ok() });
     Ok(Connection {
         sender,
         driver,
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -154,6 +154,14 @@
     conventions: &HeaderConventions,
     method: &Method,
 ) -> bool
+where
+    Content: Body,
+{
+    conventions.accept_close_delimited || !is_close_delimited(response, method)
+}
+
+/// Returns whether the end of the connection is the only end of a response.
+pub fn is_close_delimited<Content>(response: &Response<Content>, method: &Method) -> bool
 where
     Content: Body,
 {
@@ -162,10 +170,7 @@
         || response.status() == StatusCode::NO_CONTENT
         || response.status() == StatusCode::NOT_MODIFIED;
     let known_length = response.body().size_hint().exact().is_some();
-    conventions.accept_close_delimited
-        || without_body
-        || known_length
-        || (chunked && response.version() == Version::HTTP_11)
+    !(without_body || known_length || (chunked && response.version() == Version::HTTP_11))
 }
 
 /// Returns whether a status code alone tells callers that the request was not run and will not be.
--- a/crates/entry/tests/faulty_servers.rs
+++ b/crates/entry/tests/faulty_servers.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use {
+    bytes::Bytes,
     entry::{AttemptOutcome, CallerResponse, ForwardedResponse, HeaderConventions},
-    http_body_util::BodyExt,
-    hyper::{header::HeaderName, Method},
+    futures_util::stream,
+    http_body_util::{BodyExt, StreamBody},
+    hyper::{body::Frame, header::HeaderName, Method},
     member::ServerNotice,
+    socket2::SockRef,
     std::{
-        fs,
+        fs, io,
         net::SocketAddr,
         sync::{
             atomic::{AtomicUsize, Ordering},
@@ -16,7 +19,7 @@
         },
         time::{Duration, Instant},
     },
-    support::{fixture_with_conventions, incoming, send, Fixture},
+    support::{fixture_with_conventions, incoming, send, send_upload, Fixture},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -465,3 +468,112 @@
     }
     assert_eq!(server.requests.load(Ordering::SeqCst), 3);
 }
+
+/// Sends an upload of 2 MiB that the caller doesn't complete before its last piece is asked for.
+async fn upload(fixture: &Fixture, id: &str) -> CallerResponse {
+    let pieces = 128;
+    let piece = Bytes::from(vec![b'x'; 16 * 1024]);
+    let deadline = DEADLINE_MS.to_string();
+    let headers = [("request-id", id), ("deadline-ms", deadline.as_str())];
+    let mut request = incoming(Method::POST, &headers, "");
+    request.content_length_bytes = Some(pieces * 16 * 1024);
+    let frames = stream::unfold(0, move |sent| {
+        let piece = piece.clone();
+        async move {
+            sleep(Duration::from_micros(200)).await;
+            (sent < pieces).then(|| (Ok::<_, io::Error>(Frame::data(piece)), sent + 1))
+        }
+    });
+    request.body = StreamBody::new(frames).boxed_unsync();
+    send_upload(fixture, request).await
+}
+
+/// Returns whether the caller gets a response that looks complete.
+async fn looks_complete(response: CallerResponse) -> bool {
+    match response {
+        CallerResponse::Generated(..) => false,
+        CallerResponse::Forwarded(ForwardedResponse::Buffered(_)) => true,
+        CallerResponse::Forwarded(ForwardedResponse::Streamed(response)) => {
+            response.into_body().collect().await.is_ok()
+        }
+    }
+}
+
+/// How a server ends the connection while it is being sent an upload.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    /// It resets the connection.
+    Reset,
+    /// It closes the connection; what is sent to it afterwards, or was not read, makes its system reset it.
+    Close,
+    /// It ends its side, and resets the connection a little later.
+    EndThenReset,
+}
+
+/// A server that answers each request at once with a response without a length, of which it sends `part_bytes` bytes; then it
+/// ends the connection after `pause_us`.
+async fn early_server(part_bytes: usize, pause_us: u64, ending: Ending) -> RawServer {
+    raw_server(move |mut stream, _, id| async move {
+        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\r\n");
+        write(&mut stream, &head).await;
+        write(&mut stream, &"p".repeat(part_bytes)).await;
+        sleep(Duration::from_micros(pause_us)).await;
+        if matches!(ending, Ending::EndThenReset) {
+            let _ = stream.shutdown().await;
+            sleep(Duration::from_millis(5)).await;
+        }
+        if !matches!(ending, Ending::Close) {
+            let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            reset.expect("an option of the socket");
+        }
+        None
+    })
+    .await
+}
+
+/// A server answered an upload at once with a response without a length, sent a part of it and reset the connection while the
+/// upload was still being written. Where the end of the connection was read before its reset, the part was taken for the
+/// whole response.
+#[tokio::test(flavor = "multi_thread")]
+async fn handle_request_reset_during_upload() {
+    // Of the parts, the first is buffered here and the second forwarded while it is received.
+    for part_bytes in [100, 50_000] {
+        for ending in [Ending::Reset, Ending::Close, Ending::EndThenReset] {
+            for pause_us in [0, 100, 500, 1_000, 2_000, 5_000, 10_000, 20_000] {
+                for trial in 0..3 {
+                    let server = early_server(part_bytes, pause_us, ending).await;
+                    let fixture = fixture_of(&[&server]);
+                    let response = upload(&fixture, "mine").await;
+                    assert!(
+                        !looks_complete(response).await,
+                        "{part_bytes} bytes, {ending:?} after {pause_us} us, trial {trial}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// A response without a length is complete if the connection ends after the whole upload was sent.
+#[tokio::test]
+async fn handle_request_close_delimited_after_upload() {
+    let server = raw_server(|mut stream, _, id| async move {
+        let (mut received, mut buffer) = (Vec::new(), vec![0; 64 * 1024]);
+        while !received.ends_with(b"\r\n0\r\n\r\n") {
+            let count = stream
+                .read(&mut buffer)
+                .await
+                .ok()
+                .filter(|count| *count > 0)?;
+            received.extend_from_slice(&buffer[..count]);
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\r\n");
+        write(&mut stream, &head).await;
+        write(&mut stream, "whole").await;
+        None
+    })
+    .await;
+    let fixture = fixture_of(&[&server]);
+    let response = upload(&fixture, "mine").await;
+    assert!(looks_complete(response).await);
+}
