Reject responses whose status is no final HTTP status

A server in trouble may send a status such as 000. The HTTP library rejects 000 to 099 and 199 itself, so callers did not get these. It accepts 101 and 600 to 999, and callers got them as responses, against which nothing was held.

A status outside 200 to 599 is now treated like any other invalid response: the outcome is unknown, and the attempt counts as failed.

--- a/crates/entry/src/commands/exchange.rs
+++ b/crates/entry/src/commands/exchange.rs
@@ -205,6 +205,7 @@
     let unproven_not_run =
         conventions.status_implies_not_run && queries::implies_not_run(response.status());
     if unproven_not_run
+        || !queries::is_final_status(response.status())
         || !queries::is_matching_response(&response, conventions, &context.plan.request_id)
         || !queries::has_reliable_framing(&response, conventions, &context.head.method)
     {
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -18,6 +18,11 @@
 /// Largest limit that counts, in thousandths of a request a second; a faulty server may name any number.
 const LIMIT_MAX_MILLI: u64 = 1_000_000_000;
 
+/// Lowest status of a final response.
+const FINAL_STATUS_MIN: u16 = 200;
+/// Highest status that HTTP has.
+const FINAL_STATUS_MAX: u16 = 599;
+
 /// Hop-by-hop headers.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -81,6 +86,11 @@
     }
 }
 
+/// Returns whether a status is that of a final HTTP response. The HTTP library itself rejects those below 100.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (FINAL_STATUS_MIN..=FINAL_STATUS_MAX).contains(&status.as_u16())
+}
+
 /// Returns whether a response was made by the server for this request. A response that echoes another request id is
 /// not. If signatures are required, the id must be echoed, and a successful response must be signed and have no content
 /// encoding, which an intermediary may have added; otherwise the id may be absent.
--- a/crates/entry/tests/faulty_servers.rs
+++ b/crates/entry/tests/faulty_servers.rs
@@ -577,3 +577,36 @@
     let response = upload(&fixture, "mine").await;
     assert!(looks_complete(response).await);
 }
+
+/// A server in trouble sent the status 000, and others sent statuses that HTTP does not have; callers got them.
+#[tokio::test]
+async fn handle_request_no_http_status() {
+    for status in ["000", "001", "099", "101", "600", "700", "999"] {
+        let server = raw_server(move |mut stream, _, id| async move {
+            let answer = answer_of(&id, "done").replace("200 OK", &format!("{status} Trouble"));
+            write(&mut stream, &answer).await;
+            Some(stream)
+        })
+        .await;
+        let fixture = fixture_of(&[&server]);
+        let response = request(&fixture, Method::POST, "mine").await;
+        assert_eq!(response.code(), ResultCode::OutcomeUnknown, "{status}");
+        let releases = fixture.releases.lock().expect("no panic");
+        let outcomes: Vec<AttemptOutcome> = releases.iter().map(|one| one.outcome).collect();
+        assert_eq!(outcomes, [AttemptOutcome::Failed], "{status}");
+    }
+}
+
+/// A status below 200 announces another response, and must not be taken for the final one if none follows.
+#[tokio::test]
+async fn handle_request_informational_only() {
+    let server = raw_server(|mut stream, _, id| async move {
+        let answer = answer_of(&id, "done").replace("200 OK", "199 Trouble");
+        write(&mut stream, &answer).await;
+        Some(stream)
+    })
+    .await;
+    let fixture = fixture_of(&[&server]);
+    let response = request(&fixture, Method::POST, "mine").await;
+    assert_eq!(response.code(), ResultCode::OutcomeUnknown);
+}
