Emulate submissions, second tries and an added server

The emulator had one workload, that of the ordering service, and could not tell requests that may run only once from the others in a mix, nor a second try from a first one.

An attempt records whether it is idempotent, a second try, and sent to a failing server. A server may be added during a run; it takes twice as long for 3 s.

--- a/crates/emu/src/commands/run.rs
+++ b/crates/emu/src/commands/run.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        state::{Emulation, Event, Owner, Request},
+        state::{AttemptResult, Emulation, Event, Owner, Request},
         Attempt, Outcome, Policy, RunStats, Workload,
     },
     fastrand::Rng,
@@ -33,6 +33,10 @@
 const RETRY_SLACK: u32 = 50;
 /// Maximum number of attempts of one request.
 const ATTEMPTS_MAX: u32 = 2;
+/// Time for which a server is cold after its start, in milliseconds.
+const COLD_MS: u64 = 3_000;
+/// Factor on the service time of a cold server.
+const COLD_FACTOR: f64 = 2.0;
 /// Idle time after which a good server is preferred, in milliseconds, as at an owner for requests that are not
 /// idempotent.
 const IDLE_MS: u64 = 2_000;
@@ -45,8 +49,8 @@
         owners: (0..policy.owners.max(1))
             .map(|_| Owner::new(workload.servers, workload.slots, 0))
             .collect(),
-        is_gray: vec![false; workload.servers],
-        in_flight: vec![0; workload.servers],
+        is_gray: vec![false; servers_max(workload)],
+        in_flight: vec![0; servers_max(workload)],
         events: BinaryHeap::new(),
         sequence: 0,
         stats: RunStats::default(),
@@ -57,6 +61,9 @@
     if let Some(at_ms) = workload.owner_lost_ms {
         emulation.schedule(at_ms, Event::OwnerLoss);
     }
+    if let Some(at_ms) = workload.server_added_ms {
+        emulation.schedule(at_ms, Event::ServerAdded);
+    }
     while let Some(Reverse(scheduled)) = emulation.events.pop() {
         if scheduled.at_ms >= workload.duration_ms + workload.deadline_ms {
             break;
@@ -66,6 +73,11 @@
     emulation.stats
 }
 
+/// Returns the number of servers, including one that is added during the run.
+fn servers_max(workload: &Workload) -> usize {
+    workload.servers + usize::from(workload.server_added_ms.is_some())
+}
+
 fn process_event(emulation: &mut Emulation, workload: &Workload, now_ms: u64, event: Event) {
     match event {
         Event::Arrival => handle_arrival(emulation, workload, now_ms),
@@ -75,6 +87,11 @@
             let predecessor = std::mem::replace(&mut emulation.owners[0], successor);
             emulation.owners[0].queue = predecessor.queue;
         }
+        Event::ServerAdded => {
+            for owner in &mut emulation.owners {
+                owner.list_servers(servers_max(workload), workload.slots, now_ms);
+            }
+        }
         Event::Tick => {
             for owner in 0..emulation.owners.len() {
                 maintain_pool(&mut emulation.owners[owner], now_ms);
@@ -82,9 +99,9 @@
             }
             emulation.schedule(now_ms + TICK_MS, Event::Tick);
         }
-        Event::Completion(owner, permit, server, request, completed, service_ms) => {
+        Event::Completion(owner, permit, server, request, result) => {
             complete_attempt(
-                emulation, workload, now_ms, owner, permit, server, *request, completed, service_ms,
+                emulation, workload, now_ms, owner, permit, server, *request, result,
             );
         }
         Event::OutcomeArrival(owner, permit, server, outcome, response_us) => {
@@ -265,7 +282,13 @@
     if emulation.in_flight[index] > workload.slots {
         // The server is full because of permits of other owners; it sheds the request without running it.
         emulation.stats.shed += 1;
-        let event = Event::Completion(owner, permit, server, Box::new(request), false, 0);
+        let result = AttemptResult {
+            is_completed: false,
+            is_shed: true,
+            is_to_failing: emulation.is_gray[index],
+            duration_ms: FAIL_MS,
+        };
+        let event = Event::Completion(owner, permit, server, Box::new(request), result);
         return emulation.schedule(now_ms + FAIL_MS, event);
     }
     let is_gray = emulation.is_gray[index];
@@ -283,12 +306,31 @@
     let service_ms = if fails {
         FAIL_MS
     } else {
-        (workload.mean_service_ms * factor * log_normal(&mut emulation.rng)) as u64
+        let cold_factor = cold_factor(workload, index, now_ms);
+        (workload.mean_service_ms * factor * cold_factor * log_normal(&mut emulation.rng)) as u64
     };
-    let event = Event::Completion(owner, permit, server, Box::new(request), !fails, service_ms);
+    let result = AttemptResult {
+        is_completed: !fails,
+        is_shed: false,
+        is_to_failing: is_gray,
+        duration_ms: service_ms,
+    };
+    let event = Event::Completion(owner, permit, server, Box::new(request), result);
     emulation.schedule(now_ms + service_ms, event);
 }
 
+/// Returns the factor on the service time of a server: above 1 while it is cold.
+fn cold_factor(workload: &Workload, server: usize, now_ms: u64) -> f64 {
+    let is_cold = workload
+        .server_added_ms
+        .is_some_and(|at_ms| server == workload.servers && now_ms < at_ms + COLD_MS);
+    if is_cold {
+        COLD_FACTOR
+    } else {
+        1.0
+    }
+}
+
 /// Draws from a log-normal distribution with mean 1.
 fn log_normal(rng: &mut Rng) -> f64 {
     let (u1, u2) = (1.0 - rng.f64(), rng.f64());
@@ -307,26 +349,29 @@
     permit: PermitId,
     server: ServerIndex,
     request: Request,
-    completed: bool,
-    service_ms: u64,
+    result: AttemptResult,
 ) {
     let index: usize = server.into();
     emulation.in_flight[index] -= 1;
-    let was_shed = !completed && service_ms == 0;
+    let (completed, was_shed) = (result.is_completed, result.is_shed);
+    let duration_us = result.duration_ms * 1_000;
     emulation.stats.attempts.push(Attempt {
         server: index,
-        started_ms: now_ms.saturating_sub(service_ms),
+        started_ms: now_ms.saturating_sub(result.duration_ms),
         ended_ms: now_ms,
         is_failed: !completed && !was_shed,
+        is_idempotent: request.idempotent,
+        is_retry: request.attempts > 1,
+        is_to_failing: result.is_to_failing,
     });
     let outcome = match (completed, was_shed) {
         (true, _) => AttemptOutcome::Completed {
-            first_byte_us: service_ms * 1_000,
+            first_byte_us: duration_us,
         },
         (false, true) => AttemptOutcome::Shed,
         (false, false) => AttemptOutcome::Failed,
     };
-    let response_us = completed.then_some(service_ms * 1_000);
+    let response_us = completed.then_some(duration_us);
     let delivered_ms = now_ms + emulation.policy.outcome_delay_ms;
     emulation.schedule(
         delivered_ms,
--- a/crates/emu/src/main.rs
+++ b/crates/emu/src/main.rs
@@ -4,7 +4,10 @@
     bpaf::Bpaf,
     emu::{
         commands::run,
-        queries::{failed_share, refused_share, served_percentile_ms, served_share},
+        queries::{
+            at_most_once_failed_share, failed_share, least_used_share, refused_share,
+            retries_to_failing_share, served_percentile_ms, served_share,
+        },
         Policy, RunStats, Workload,
     },
     std::{fs, io, path::PathBuf, process::ExitCode},
@@ -12,6 +15,12 @@
 
 /// Number of seeds over which each row is averaged.
 const SEEDS: u64 = 10;
+/// Time after which the least use of the sound servers is measured, in milliseconds.
+const SETTLED_MS: u64 = 4_000;
+/// Window in which it is measured, in milliseconds.
+const USE_WINDOW_MS: u64 = 2_000;
+/// Requests for each sound server in a window that is measured.
+const REQUESTS_PER_SERVER_MIN: usize = 2;
 /// Size of the plot, in pixels.
 const PLOT_SIZE: (f64, f64) = (640.0, 320.0);
 /// Margin of the plot, in pixels.
@@ -42,6 +51,9 @@
     failed: f64,
     refused: f64,
     sent_to_failing: f64,
+    at_most_once_failed: f64,
+    retries_to_failing: f64,
+    least_used: f64,
     p50_ms: f64,
     p99_ms: f64,
 }
@@ -145,6 +157,17 @@
         ..workload
     };
     add("in use, no server fails".to_owned(), policy, without_faults);
+    for idempotent_percent in [0, 10, 50, 100] {
+        let submissions = Workload {
+            idempotent_share: f64::from(idempotent_percent) / 100.0,
+            ..Workload::submissions()
+        };
+        add(
+            format!("submissions, {idempotent_percent} % idempotent"),
+            policy,
+            submissions,
+        );
+    }
     rows
 }
 
@@ -156,6 +179,17 @@
     let mean_of =
         |value: &dyn Fn(&RunStats) -> f64| runs.iter().map(value).sum::<f64>() / runs.len() as f64;
     let until_ms = row.workload.duration_ms;
+    let least_used = |stats: &RunStats| {
+        let period = (SETTLED_MS, until_ms);
+        let servers = row.workload.servers;
+        least_used_share(
+            stats,
+            servers,
+            period,
+            USE_WINDOW_MS,
+            REQUESTS_PER_SERVER_MIN,
+        ) * 100.0
+    };
     Means {
         served: mean_of(&|stats| served_share(stats, 0, until_ms) * 100.0),
         failed: mean_of(&|stats| failed_share(stats, 0, until_ms) * 100.0),
@@ -163,6 +197,9 @@
         sent_to_failing: mean_of(&|stats| {
             stats.sent_to_failing as f64 * 100.0 / stats.outcomes.len().max(1) as f64
         }),
+        at_most_once_failed: mean_of(&|stats| at_most_once_failed_share(stats) * 100.0),
+        retries_to_failing: mean_of(&|stats| retries_to_failing_share(stats) * 100.0),
+        least_used: runs.iter().map(least_used).fold(100.0, f64::min),
         p50_ms: mean_of(&|stats| served_percentile_ms(stats, 50) as f64),
         p99_ms: mean_of(&|stats| served_percentile_ms(stats, 99) as f64),
     }
@@ -173,19 +210,25 @@
         "# Emulated policies\n\n\
         Written by `cargo run --release -p emu -- --out docs`: one pool of 12 servers of 4 slots, 49 requests per\n\
         second of 300 ms that are not idempotent, 30 % of the servers failing 85 % of their requests without delay for\n\
-        nine seconds at a time; 60 s, mean of 10 seeds. Shares in percent of the requests.\n\n\
+        nine seconds at a time; 60 s, mean of 10 seeds. Shares in percent of the requests. The submissions are 70 requests\n\
+        per second of 260 ms to 20 servers of 4 slots with the same faults; those that may run only once fail as the column\n\
+        `at most once failed` says, in percent of these. The least use is that of the sound servers in any two seconds of the\n\
+        10 runs.\n\n\
         ![failed requests by policy](emulator.svg)\n\n\
-        | policy | served | failed | refused | sent to a failing server | p50, ms | p99, ms |\n\
-        | --- | --- | --- | --- | --- | --- | --- |\n",
+        | policy | served | failed | refused | sent to a failing server | at most once failed | second tries to a failing server | least use | p50, ms | p99, ms |\n\
+        | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for (row, mean) in rows.iter().zip(means) {
         text.push_str(&format!(
-            "| {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} |\n",
+            "| {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} |\n",
             row.name,
             mean.served,
             mean.failed,
             mean.refused,
             mean.sent_to_failing,
+            mean.at_most_once_failed,
+            mean.retries_to_failing,
+            mean.least_used,
             mean.p50_ms,
             mean.p99_ms
         ));
--- a/crates/emu/src/queries.rs
+++ b/crates/emu/src/queries.rs
@@ -1,6 +1,6 @@
 //! Queries over the statistics of a run.
 
-use crate::{Outcome, RunStats};
+use crate::{Attempt, Outcome, RunStats};
 
 /// Step by which windows of time are moved, in milliseconds.
 const WINDOW_STEP_MS: usize = 50;
@@ -26,6 +26,42 @@
     })
 }
 
+/// Returns the share of the requests that may run only once and were sent to a server that failed there, 0 to 1.
+pub fn at_most_once_failed_share(stats: &RunStats) -> f64 {
+    let is_at_most_once = |attempt: &Attempt| !attempt.is_idempotent;
+    attempt_share(stats, is_at_most_once, |attempt| attempt.is_failed)
+}
+
+/// Returns the share of the second tries that were sent to a server that was failing most of its requests, 0 to 1.
+pub fn retries_to_failing_share(stats: &RunStats) -> f64 {
+    attempt_share(
+        stats,
+        |attempt| attempt.is_retry,
+        |attempt| attempt.is_to_failing,
+    )
+}
+
+/// Returns the share of the attempts at `server` among those sent from `from_ms` until `until_ms`, 0 to 1.
+pub fn server_share(stats: &RunStats, server: usize, (from_ms, until_ms): (u64, u64)) -> f64 {
+    let is_in_period = |attempt: &Attempt| (from_ms..until_ms).contains(&attempt.started_ms);
+    attempt_share(stats, is_in_period, |attempt| attempt.server == server)
+}
+
+/// Returns the share of attempts that match among those that are counted; 0 if none is counted.
+fn attempt_share<Counts, Matches>(stats: &RunStats, counts: Counts, matches: Matches) -> f64
+where
+    Counts: Fn(&Attempt) -> bool,
+    Matches: Fn(&Attempt) -> bool,
+{
+    let counted = stats.attempts.iter().filter(|attempt| counts(attempt));
+    let (mut all, mut matching) = (0_u32, 0_u32);
+    for attempt in counted {
+        all += 1;
+        matching += u32::from(matches(attempt));
+    }
+    f64::from(matching) / f64::from(all.max(1))
+}
+
 /// Returns the percentile `percent` of the response times of served requests, in milliseconds; 0 if none was served.
 pub fn served_percentile_ms(stats: &RunStats, percent: usize) -> u64 {
     let response_times_ms = stats
--- a/crates/emu/src/state.rs
+++ b/crates/emu/src/state.rs
@@ -46,6 +46,12 @@
     pub ended_ms: u64,
     /// Whether it failed at the server.
     pub is_failed: bool,
+    /// Whether its request may run more than once.
+    pub is_idempotent: bool,
+    /// Whether its request was sent to a server before.
+    pub is_retry: bool,
+    /// Whether its server was failing most of its requests when it was sent.
+    pub is_to_failing: bool,
 }
 
 /// Statistics of one run.
@@ -73,6 +79,19 @@
     pub(crate) tried_servers: Vec<ServerIndex>,
 }
 
+/// Result of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptResult {
+    /// Whether it completed.
+    pub(crate) is_completed: bool,
+    /// Whether a full server shed it.
+    pub(crate) is_shed: bool,
+    /// Whether its server was failing most of its requests when it was sent.
+    pub(crate) is_to_failing: bool,
+    /// Time from its start, in milliseconds.
+    pub(crate) duration_ms: u64,
+}
+
 /// An event of the simulation.
 #[derive(Clone, Debug)]
 pub(crate) enum Event {
@@ -82,10 +101,12 @@
     GrayRotation,
     /// The first owner is replaced by one without knowledge of the pool, which keeps the queue.
     OwnerLoss,
+    /// The server that is added during the run is listed by the owners.
+    ServerAdded,
     /// The owners run their pool maintenance.
     Tick,
-    /// An attempt ends: owner, permit, server, request, whether it completed, service time in milliseconds (0 if shed).
-    Completion(usize, PermitId, ServerIndex, Box<Request>, bool, u64),
+    /// An attempt ends: owner, permit, server, request, result.
+    Completion(usize, PermitId, ServerIndex, Box<Request>, AttemptResult),
     /// The outcome of an attempt reaches its owner: owner, permit, server, outcome, response time in microseconds.
     OutcomeArrival(usize, PermitId, ServerIndex, AttemptOutcome, Option<u64>),
 }
@@ -130,12 +151,6 @@
 impl Owner {
     pub(crate) fn new(servers: usize, slots: u32, now_ms: u64) -> Self {
         let mut state = PoolState::new(SERVICE, AREA, now_ms);
-        let address = SocketAddr::from(([10, 0, 0, 1], 1));
-        let server = |number| {
-            let name = format!("b{number}");
-            BackendServer::new(&name, SERVICE, AREA, address, slots)
-        };
-        let servers = (0..servers).map(server).collect();
         let service = Service {
             name: SERVICE.to_owned(),
             detection: DetectionMode::Fast,
@@ -146,12 +161,25 @@
             hold_bytes: 0,
         };
         apply_service_config(&mut state, 1, Some(&service));
-        apply_server_list(&mut state, &View::new(1, Vec::new(), servers), now_ms);
-        Self {
+        let mut owner = Self {
             state,
             queue: VecDeque::new(),
             credit: CreditAccount::default(),
-        }
+        };
+        owner.list_servers(servers, slots, now_ms);
+        owner
+    }
+
+    /// Applies a list of this many servers, which has their number as its version.
+    pub(crate) fn list_servers(&mut self, servers: usize, slots: u32, now_ms: u64) {
+        let address = SocketAddr::from(([10, 0, 0, 1], 1));
+        let server = |number| {
+            let name = format!("b{number}");
+            BackendServer::new(&name, SERVICE, AREA, address, slots)
+        };
+        let listed = (0..servers).map(server).collect();
+        let view = View::new(servers as u64, Vec::new(), listed);
+        apply_server_list(&mut self.state, &view, now_ms);
     }
 }
 
--- a/crates/emu/src/workload.rs
+++ b/crates/emu/src/workload.rs
@@ -29,6 +29,8 @@
     pub slowdown: Option<(u64, u64, f64)>,
     /// Time at which the owner is lost and replaced by one without knowledge of the pool, in milliseconds.
     pub owner_lost_ms: Option<u64>,
+    /// Time at which a cold server is added to the pool, in milliseconds.
+    pub server_added_ms: Option<u64>,
     /// Duration of the run, in milliseconds.
     pub duration_ms: u64,
 }
@@ -52,9 +54,22 @@
             burst: None,
             slowdown: None,
             owner_lost_ms: None,
+            server_added_ms: None,
             duration_ms: 60_000,
         }
     }
+
+    /// Returns a workload like that of the examinations' submissions in one data centre on their quietest day: 20 servers
+    /// of 4 slots, 70 requests per second of 260 ms that are not idempotent, with the same faults.
+    pub fn submissions() -> Self {
+        Self {
+            servers: 20,
+            requests_per_s: 70.0,
+            mean_service_ms: 260.0,
+            deadline_ms: 8_000,
+            ..Self::new()
+        }
+    }
 }
 
 impl Default for Workload {
