Ignore responses that began before a server's failure as proof of health

Cause: a server that becomes faulty has requests in flight that it took before. Their responses arrive after its first failure and lowered its failure odds, so that it was no suspect any more and got more requests.

Change: a complete response to a request that began before the server's last failure updates the latencies only, as one that was counted as overdue does.

--- a/crates/owner/src/commands/release.rs
+++ b/crates/owner/src/commands/release.rs
@@ -40,6 +40,7 @@
         record_success(state, server, release.outcome, permit.as_ref());
         let was_overdue = permit.is_some_and(|permit| permit.overdue);
         let outcome = without_repeated_lateness(release.outcome, was_overdue);
+        let outcome = without_stale_proof(state, server, outcome, permit.as_ref());
         record_outcome(
             &mut state.health,
             server,
@@ -70,6 +71,25 @@
     }
 }
 
+/// Removes what a complete response says about the server's health if its request began before the server's last failure: the
+/// server may have become faulty in between, and was cleared by the requests that were then in flight.
+fn without_stale_proof(
+    state: &PoolState,
+    server: ServerIndex,
+    outcome: AttemptOutcome,
+    permit: Option<&Permit>,
+) -> AttemptOutcome {
+    let pool_server = state.pool.servers.get(server);
+    let last_failed_ms = pool_server.and_then(|server| server.last_failed_ms);
+    let is_stale = permit.is_some_and(|permit| Some(permit.granted_ms) <= last_failed_ms);
+    match outcome {
+        AttemptOutcome::Completed { first_byte_us } if is_stale => {
+            AttemptOutcome::CompletedLate { first_byte_us }
+        }
+        other => other,
+    }
+}
+
 /// Updates the pool's failure rate and, after a failure, the time of the server's last failure. A failure that may be
 /// retried does not count towards the rate, because the request is not lost yet.
 fn update_failure_rate(
--- a/crates/owner/tests/owner.rs
+++ b/crates/owner/tests/owner.rs
@@ -179,6 +179,34 @@
     ));
 }
 
+/// A server that had just become faulty was cleared by the responses to requests that it had begun before, and got the next
+/// request that may run only once.
+#[test]
+fn release_response_begun_before_failure() {
+    let mut state = pool(3);
+    let good = AttemptOutcome::Completed {
+        first_byte_us: 5_000,
+    };
+    for now_ms in 0..60 {
+        use_once(&mut state, good, now_ms);
+    }
+    // Two requests at each server, of which the first one at b0 fails and the second one completes.
+    let grants = (0..6).map(|number| granted(&acquire(&mut state, &request(number), 100)));
+    let grants: Vec<(PermitId, ServerIndex)> = grants.collect();
+    let at_first = |&&(_, server): &&(PermitId, ServerIndex)| server == ServerIndex::from(0);
+    let at_first: Vec<_> = grants.iter().filter(at_first).copied().collect();
+    assert_eq!(at_first.len(), 2);
+    let failure = release_of(at_first[0].0, "b0", AttemptOutcome::Failed);
+    release(&mut state, &failure, 110);
+    let cost_permille = |state: &PoolState| {
+        let server = state.pool.servers.get(ServerIndex::from(0));
+        server.map(|server| server.cost_permille)
+    };
+    let cost_failed_permille = cost_permille(&state);
+    release(&mut state, &release_of(at_first[1].0, "b0", good), 110);
+    assert_eq!(cost_permille(&state), cost_failed_permille);
+}
+
 #[test]
 fn release_lost_response() {
     let mut state = pool(1);
