--- a/crates/owner/src/commands/release.rs
+++ b/crates/owner/src/commands/release.rs
@@ -3,7 +3,10 @@
 use {
     crate::{commands::update_standings, PoolState},
     outlier::{commands::record_outcome, AttemptOutcome},
-    permit::commands::{cancel_request, release_permit},
+    permit::{
+        commands::{cancel_request, release_permit},
+        Permit,
+    },
     types::{PermitId, ServerIndex},
 };
 
@@ -34,8 +37,10 @@
     if let Some(server) = state.pool.names.find(release.server) {
         let retryable = permit.is_some_and(|permit| permit.retryable);
         update_failure_rate(state, server, release.outcome, retryable, now_ms);
+        record_success(state, server, release.outcome, permit.as_ref());
         let was_overdue = permit.is_some_and(|permit| permit.overdue);
         let outcome = without_repeated_lateness(release.outcome, was_overdue);
+        let outcome = without_stale_proof(state, server, outcome, permit.as_ref());
         record_outcome(
             &mut state.health,
             server,
@@ -66,6 +71,25 @@
     }
 }
 
+/// Removes what a complete response says about the server's health if its request began before the server's last failure: the
+/// server may have become faulty in between, and was cleared by the requests that were then in flight.
+fn without_stale_proof(
+    state: &PoolState,
+    server: ServerIndex,
+    outcome: AttemptOutcome,
+    permit: Option<&Permit>,
+) -> AttemptOutcome {
+    let pool_server = state.pool.servers.get(server);
+    let last_failed_ms = pool_server.and_then(|server| server.last_failed_ms);
+    let is_stale = permit.is_some_and(|permit| Some(permit.granted_ms) <= last_failed_ms);
+    match outcome {
+        AttemptOutcome::Completed { first_byte_us } if is_stale => {
+            AttemptOutcome::CompletedLate { first_byte_us }
+        }
+        other => other,
+    }
+}
+
 /// Updates the pool's failure rate and, after a failure, the time of the server's last failure. A failure that may be
 /// retried does not count towards the rate, because the request is not lost yet.
 fn update_failure_rate(
@@ -91,6 +115,26 @@
     }
 }
 
+/// Records the start of a request that the server completed. Without its permit the start is not known, and the report may
+/// be about an earlier process of that name.
+fn record_success(
+    state: &mut PoolState,
+    server: ServerIndex,
+    outcome: AttemptOutcome,
+    permit: Option<&Permit>,
+) {
+    let is_success = matches!(
+        outcome,
+        AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedLate { .. }
+    );
+    let (true, Some(permit), Some(pool_server)) =
+        (is_success, permit, state.pool.servers.get_mut(server))
+    else {
+        return;
+    };
+    pool_server.last_succeeded_ms = pool_server.last_succeeded_ms.max(Some(permit.granted_ms));
+}
+
 /// Opens one more slot of a server in warm-up for each complete response.
 fn advance_warm_up(state: &mut PoolState, server: ServerIndex, outcome: AttemptOutcome) {
     if let (AttemptOutcome::Completed { .. }, Some(pool_server)) =
