--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -37,6 +37,16 @@
 const QUOTA_TOLERANCE_PERMILLE: u32 = 100;
 /// Default of `quota_slack`.
 const QUOTA_SLACK: u32 = 20;
+/// Default memory of the instance, in MiB.
+const MEMORY_MB: u32 = 16_384;
+/// Default number of descriptors that the instance may have.
+const DESCRIPTORS_MAX: u32 = 16_384;
+/// Smallest number of descriptors with which an instance can serve callers.
+const DESCRIPTORS_LEAST: u32 = 256;
+/// Smallest memory with which an instance can serve callers, in MiB.
+const MEMORY_LEAST_MB: u32 = 32;
+/// Largest value of either.
+const MACHINE_MAX: u32 = 1 << 20;
 /// Maximum processor share, in thousandths of a core.
 const CAPACITY_MAX_PERMILLE: u32 = 1_000_000;
 /// Minimum length of a token, in characters.
@@ -121,6 +131,10 @@
     pub quota_tolerance_permille: u32,
     /// Requests of an account that a window may have in addition.
     pub quota_slack: u32,
+    /// Memory of the instance, in MiB.
+    pub memory_mb: u32,
+    /// Descriptors that the instance may have.
+    pub descriptors_max: u32,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -159,6 +173,8 @@
             quota_window_ms: QUOTA_WINDOW_MS,
             quota_tolerance_permille: QUOTA_TOLERANCE_PERMILLE,
             quota_slack: QUOTA_SLACK,
+            memory_mb: MEMORY_MB,
+            descriptors_max: DESCRIPTORS_MAX,
             log_level: log::LevelFilter::Info,
         }
     }
@@ -226,6 +242,8 @@
                 .quota_tolerance
                 .map_or(QUOTA_TOLERANCE_PERMILLE, to_thousandths),
             quota_slack: document.quota_slack.unwrap_or(QUOTA_SLACK),
+            memory_mb: document.memory_mb.unwrap_or(MEMORY_MB),
+            descriptors_max: document.descriptors_max.unwrap_or(DESCRIPTORS_MAX),
             instance: document.instance,
             data_centre: document.data_centre,
         };
@@ -361,6 +379,16 @@
             "$.quota_tolerance",
             "expected 0 to 1",
         );
+        self.require(
+            (MEMORY_LEAST_MB..=MACHINE_MAX).contains(&settings.memory_mb),
+            "$.memory_mb",
+            "expected 32 to 1048576",
+        );
+        self.require(
+            (DESCRIPTORS_LEAST..=MACHINE_MAX).contains(&settings.descriptors_max),
+            "$.descriptors_max",
+            "expected 256 to 1048576",
+        );
         for (index, principal) in settings.principals.iter().enumerate() {
             let path = format!("$.principals[{index}]");
             let is_long_enough = principal.token.chars().count() >= TOKEN_MIN_CHARS;
--- a/crates/entry/src/queries/headers.rs
+++ b/crates/entry/src/queries/headers.rs
@@ -19,6 +19,11 @@
 /// Largest limit that counts, in thousandths of a request a second; a faulty server may name any number.
 const LIMIT_MAX_MILLI: u64 = 1_000_000_000;
 
+/// Lowest status of a final response.
+const FINAL_STATUS_MIN: u16 = 200;
+/// Highest status that HTTP has.
+const FINAL_STATUS_MAX: u16 = 599;
+
 /// Hop-by-hop headers.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -105,6 +110,11 @@
     }
 }
 
+/// Returns whether a status is that of a final HTTP response. The HTTP library itself rejects those below 100.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (FINAL_STATUS_MIN..=FINAL_STATUS_MAX).contains(&status.as_u16())
+}
+
 /// Returns whether a response was made by the server for this request. A response that echoes another request id is
 /// not. If signatures are required, the id must be echoed, and a successful response must be signed and have no content
 /// encoding, which an intermediary may have added; otherwise the id may be absent.
@@ -178,6 +188,14 @@
     conventions: &HeaderConventions,
     method: &Method,
 ) -> bool
+where
+    Content: Body,
+{
+    conventions.accept_close_delimited || !is_close_delimited(response, method)
+}
+
+/// Returns whether the end of the connection is the only end of a response.
+pub fn is_close_delimited<Content>(response: &Response<Content>, method: &Method) -> bool
 where
     Content: Body,
 {
@@ -186,10 +204,7 @@
         || response.status() == StatusCode::NO_CONTENT
         || response.status() == StatusCode::NOT_MODIFIED;
     let known_length = response.body().size_hint().exact().is_some();
-    conventions.accept_close_delimited
-        || without_body
-        || known_length
-        || (chunked && response.version() == Version::HTTP_11)
+    !(without_body || known_length || (chunked && response.version() == Version::HTTP_11))
 }
 
 /// Returns whether a status code alone tells callers that the request was not run and will not be.
--- a/crates/entry/tests/accounts.rs
+++ b/crates/entry/tests/accounts.rs
@@ -80,7 +80,7 @@
             key_digests: vec![Sha256::digest("secret-key").into()],
             ..Account::new("pots")
         }],
-        ..document()
+        ..document(1_000, 1_500)
     }
 }
 
@@ -184,7 +184,14 @@
     let heads = Heads::default();
     let addresses = [recording_server(&heads, RESPONSE).await];
     let headers = [("authorization", "Bearer anything")];
-    let response = send_to(&addresses, &document(), true, Method::GET, &headers).await;
+    let response = send_to(
+        &addresses,
+        &document(1_000, 1_500),
+        true,
+        Method::GET,
+        &headers,
+    )
+    .await;
     assert_eq!(response.status(), 200);
     assert!(heads.lock().expect("no panic")[0].contains("\r\nauthorization: bearer anything\r\n"));
 }
