Don't close new or served connections for others

At the limit of connections, one whose request had just begun was closed for the next one, so callers that open connections all the time could close those of others before their requests were read. An idle connection went before one that never sent a request.

Now incomplete requests and unread responses make place once their callers have made too little progress for a second, then the connection that was idle for the longest time. If there is none, the new connection is refused as not run. Tests: open_evicts_least_needed (its steps are later in time, since a new connection is no longer closed), open_refused_all_new, open_share_of_source, and three tests of the front end over loopback.

--- a/crates/front/tests/callers.rs
+++ b/crates/front/tests/callers.rs
@@ -88,6 +88,10 @@
 }
 
 async fn start() -> (SocketAddr, Arc<Handled>) {
+    start_with(Limits::new(4_096, 16_384)).await
+}
+
+async fn start_with(limits: Limits) -> (SocketAddr, Arc<Handled>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     let handled = Arc::new(Handled::default());
@@ -98,10 +102,7 @@
             header_bytes: 8_192,
             idle_timeout_ms: 10_000,
         }),
-        memory: Arc::new(MemoryBudget::new(
-            Limits::new(4_096, 16_384),
-            Box::new(|_, _, _| {}),
-        )),
+        memory: Arc::new(MemoryBudget::new(limits, Box::new(|_, _, _| {}))),
         is_draining: Box::new(move || for_draining.is_draining.load(Ordering::SeqCst)),
     };
     tokio::spawn(serve_callers(
@@ -245,3 +246,75 @@
     assert_eq!(handled.paths(), ["/slow/1"]);
     assert!(handled.completed().is_empty(), "the request was cancelled");
 }
+
+/// Limits of an instance with two connections.
+fn two_connections() -> Limits {
+    Limits {
+        connections_max: 2,
+        source_connections_max: 2,
+        ..Limits::new(4_096, 16_384)
+    }
+}
+
+async fn connect_and_send(address: SocketAddr, text: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(text).await.expect("sent");
+    stream
+}
+
+/// The number of connections was not limited. One too many is told that its request was not run, and the others go on.
+#[tokio::test]
+async fn serve_callers_no_place() {
+    let (address, handled) = start_with(two_connections()).await;
+    let mut served = Vec::new();
+    for path in ["/slow1", "/slow2"] {
+        served.push(connect_and_send(address, &requests(&[path])).await);
+    }
+    sleep(Duration::from_millis(100)).await;
+    let mut third = TcpStream::connect(address).await.expect("a connection");
+    let (refusal, has_ended) = read_to_end(&mut third).await;
+    assert!(refusal.starts_with("HTTP/1.1 503 "), "{refusal}");
+    assert!(refusal.contains("catkinhitch-outcome: not-run\r\n"));
+    let code = format!("catkinhitch-code: {}\r\n", ResultCode::NoRoom.number());
+    assert!(refusal.contains(&code), "{refusal}");
+    assert!(has_ended);
+    for (stream, path) in served.iter_mut().zip(["/slow1", "/slow2"]) {
+        assert!(read_to_end(stream).await.0.ends_with(path));
+    }
+    assert_eq!(handled.completed().len(), 2);
+}
+
+/// Callers that never completed a request kept their connections from others.
+#[tokio::test]
+async fn serve_callers_incomplete_requests_make_place() {
+    let (address, handled) = start_with(two_connections()).await;
+    let mut incomplete = Vec::new();
+    for _ in 0..2 {
+        incomplete.push(connect_and_send(address, b"GET / HTTP/1.1\r\nHost: a\r\n").await);
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    let mut ordinary = connect_and_send(address, &requests(&["/ordinary"])).await;
+    let (response, _) = read_to_end(&mut ordinary).await;
+    assert!(response.ends_with("/ordinary"), "{response}");
+    assert_eq!(handled.paths(), ["/ordinary"]);
+    let (_, has_ended) = read_to_end(&mut incomplete[0]).await;
+    assert!(has_ended, "the evicted connection is open");
+}
+
+/// An idle connection is closed for a new one, and its caller sees a regular end.
+#[tokio::test]
+async fn serve_callers_idle_makes_place() {
+    let (address, _) = start_with(two_connections()).await;
+    let mut idle = Vec::new();
+    for path in ["/first", "/second"] {
+        let mut stream = connect_and_send(address, &requests(&[path])).await;
+        let mut response = vec![0; 1_024];
+        let count = stream.read(&mut response).await.expect("a response");
+        assert!(String::from_utf8_lossy(&response[..count]).ends_with(path));
+        idle.push(stream);
+    }
+    let mut third = connect_and_send(address, &requests(&["/third"])).await;
+    assert!(read_to_end(&mut third).await.0.ends_with("/third"));
+    assert_eq!(read_to_end(&mut idle[0]).await, (String::new(), true));
+    assert!(!read_to_end(&mut idle[1]).await.1);
+}
--- a/crates/memory/src/commands.rs
+++ b/crates/memory/src/commands.rs
@@ -42,7 +42,7 @@
     Refused,
 }
 
-/// Adds a connection. Fails if there are too many and none of them waits for its caller. The descriptor of an evicted one
+/// Adds a connection. Fails if there are too many and none of them can make place. The descriptor of an evicted one
 /// is in use for a moment longer.
 pub fn open<Handle>(
     ledger: &mut Ledger<Handle>,
@@ -65,7 +65,7 @@
     };
     let evicted = match scope {
         Some(scope) => {
-            let id = least_needed(ledger, scope)?;
+            let id = least_needed(ledger, scope, now_ms)?;
             let evicted = evict(ledger, id);
             // Its place is taken now, so it no longer counts.
             close(ledger, id);
@@ -86,6 +86,7 @@
         judged_since_ms: now_ms,
         progress: Progress::new(now_ms),
         held_bytes: 0,
+        has_sent_request: false,
         is_evicted: false,
         is_closed: false,
     };
@@ -114,6 +115,7 @@
     now_ms: u64,
 ) {
     if let Some(connection) = ledger.connections.get_mut(&id) {
+        connection.has_sent_request = true;
         connection.phase = phase;
         connection.phase_since_ms = now_ms;
         connection.judged_since_ms = now_ms;
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -95,6 +95,8 @@
     pub(crate) judged_since_ms: u64,
     pub(crate) progress: Progress,
     pub(crate) held_bytes: u64,
+    /// Whether a request was received completely at least as far as its head.
+    pub(crate) has_sent_request: bool,
     pub(crate) is_evicted: bool,
     /// Whether the connection is closed; its request may go on.
     pub(crate) is_closed: bool,
--- a/crates/memory/src/queries.rs
+++ b/crates/memory/src/queries.rs
@@ -99,24 +99,31 @@
     first.map(|(id, _)| *id)
 }
 
-/// Returns the connection that is closed to make place for another one of `scope`: first those whose request is
-/// incomplete, with the least progress, then the one that has been idle for the longest time.
+/// Returns the connection that is closed to make place for another one of `scope`: first those whose request is incomplete
+/// or whose response is not read, if their callers make too little progress, then the one that has been idle for the longest
+/// time. One that is new, makes progress or waits for a server is not closed for another one.
 pub(crate) fn least_needed<Handle>(
     ledger: &Ledger<Handle>,
     scope: Scope<'_>,
+    now_ms: u64,
 ) -> Option<ConnectionId> {
     let candidates = ledger.connections.iter().filter(|(_, connection)| {
-        connection.phase != Phase::Serving
-            && !connection.is_evicted
+        !connection.is_evicted
             && !connection.is_closed
+            && (is_idle(connection) || is_slow(connection, now_ms))
             && match scope {
                 Scope::Source(source) => connection.source == source,
                 Scope::All | Scope::Account(_) => true,
             }
     });
     let first = candidates.min_by_key(|(id, connection)| {
-        let is_idle = connection.phase == Phase::Open && connection.held_bytes == 0;
-        (is_idle, connection.progress.last_ms, **id)
+        let last_ms = connection.progress.last_ms;
+        (is_idle(connection), last_ms, **id)
     });
     first.map(|(id, _)| *id)
 }
+
+/// Returns whether a connection has had a request and waits for the next one.
+fn is_idle<Handle>(connection: &Connection<Handle>) -> bool {
+    connection.has_sent_request && connection.phase == Phase::Open && connection.held_bytes == 0
+}
--- a/crates/memory/tests/ledger.rs
+++ b/crates/memory/tests/ledger.rs
@@ -3,8 +3,8 @@
 use {
     memory::{
         commands::{
-            assign_account, close, enter_phase, evict_if_slow, evict_slow, open, record_progress,
-            release, remove, reserve, Opened, Reservation,
+            assign_account, begin_phase, close, enter_phase, evict_if_slow, evict_slow, open,
+            record_progress, release, remove, reserve, Opened, Reservation,
         },
         queries::{open_connections, used_room_bytes},
         ConnectionId, Ledger, Limits, Phase, COVERED_BYTES, MIN_PROGRESS_BYTES_PER_S,
@@ -233,39 +233,57 @@
     assert!(evict_if_slow(&mut ledger, id, 90_000).is_some());
 }
 
-/// At the limit an incomplete request makes place first, then the longest idle connection, never one that is served.
+/// Opens a connection that had a request and waits for the next one since `now_ms`.
+fn idle(ledger: &mut Ledger<&'static str>, name: &'static str, from: u8, now_ms: u64) {
+    let opened = open(ledger, source(from), name, now_ms).expect("a place");
+    begin_phase(ledger, opened.id, Phase::Serving, now_ms);
+    begin_phase(ledger, opened.id, Phase::Open, now_ms);
+}
+
+/// At the limit, incomplete requests make place first, then the longest idle connection, never one that is served.
 #[test]
 fn open_evicts_least_needed() {
     let mut ledger = ledger();
     let served = receiving(&mut ledger, "served", 1);
     enter_phase(&mut ledger, served, Phase::Serving, 0);
-    open(&mut ledger, source(2), "idle", 10).expect("a place");
-    let partial = open(&mut ledger, source(3), "partial", 20).expect("a place");
-    enter_phase(&mut ledger, partial.id, Phase::Receiving, 20);
-    open(&mut ledger, source(4), "idle later", 30).expect("a place");
-    let expected = ["partial", "idle", "idle later"];
+    idle(&mut ledger, "idle", 2, 10);
+    open(&mut ledger, source(3), "no request", 20).expect("a place");
+    idle(&mut ledger, "idle later", 4, 30);
+    let expected = ["no request", "idle", "idle later"];
     for (number, name) in expected.into_iter().enumerate() {
-        let from = source(10 + number as u8);
-        let opened = open(&mut ledger, from, "new", 40 + number as u64).expect("a place");
+        let (from, now_ms) = (source(10 + number as u8), LATER_MS + number as u64);
+        let opened = open(&mut ledger, from, "new", now_ms).expect("a place");
         let evicted = opened.evicted.expect("an eviction");
         assert_eq!(evicted.handle, name);
-        enter_phase(&mut ledger, opened.id, Phase::Serving, 50);
+        begin_phase(&mut ledger, opened.id, Phase::Serving, now_ms);
         assert_eq!(open_connections(&ledger), 4);
     }
-    assert!(open(&mut ledger, source(20), "one more", 60).is_none());
+    assert!(open(&mut ledger, source(20), "one more", 3 * LATER_MS).is_none());
+}
+
+/// Callers that open connections all the time closed those of others before they could send a request.
+#[test]
+fn open_refused_all_new() {
+    let mut ledger = ledger();
+    for from in 1..=4 {
+        open(&mut ledger, source(from), "new", 0).expect("a place");
+    }
+    assert!(open(&mut ledger, source(5), "too early", 500).is_none());
+    let opened = open(&mut ledger, source(5), "later", LATER_MS).expect("a place");
+    assert_eq!(opened.evicted.map(|one| one.handle), Some("new"));
 }
 
 #[test]
 fn open_share_of_source() {
     let mut ledger = ledger();
+    idle(&mut ledger, "other", 2, 0);
     for _ in 0..3 {
-        let opened = open(&mut ledger, source(1), "a", 0).expect("a place");
-        assert_eq!(opened.evicted, None);
+        idle(&mut ledger, "a", 1, 10);
     }
-    let Opened { evicted, .. } = open(&mut ledger, source(1), "b", 0).expect("a place");
+    let Opened { evicted, .. } = open(&mut ledger, source(1), "b", 20).expect("a place");
     assert_eq!(evicted.map(|one| one.handle), Some("a"));
-    let other = open(&mut ledger, source(2), "c", 0).expect("a place");
-    assert_eq!(other.evicted, None);
+    let Opened { evicted, .. } = open(&mut ledger, source(3), "c", 20).expect("a place");
+    assert_eq!(evicted.map(|one| one.handle), Some("other"));
 }
 
 /// What a closed connection still holds counts until it is released.
