--- a/crates/memory/tests/ledger.rs
+++ b/crates/memory/tests/ledger.rs
@@ -332,6 +332,7 @@
 fn first_violation(steps: &[Step]) -> Option<String> {
     let mut ledger: Ledger<&'static str> = ledger();
     let mut ids: Vec<(ConnectionId, Vec<u64>)> = Vec::new();
+    let mut sources: Vec<u8> = Vec::new();
     for (number, step) in steps.iter().enumerate() {
         let now_ms = number as u64 * 300;
         let chosen = |which: u8, count: usize| usize::from(which) % count.max(1);
@@ -340,6 +341,7 @@
             Step::Open(from) => {
                 if let Some(opened) = open(&mut ledger, source(from), "x", now_ms) {
                     ids.push((opened.id, Vec::new()));
+                    sources.push(from);
                 }
             }
             _ if count == 0 => {}
@@ -372,6 +374,14 @@
         if room_bytes != used_room_bytes(&ledger) {
             return Some(format!("{room_bytes} held after step {number}"));
         }
+        for from in 0..3 {
+            let of_source = ids.iter().zip(&sources).filter(|(_, one)| **one == from);
+            let held = of_source.map(|((_, held), _)| held.iter().sum::<u64>());
+            let held_bytes: u64 = held.map(|held| held.saturating_sub(COVERED_BYTES)).sum();
+            if held_bytes > limits().source_bytes {
+                return Some(format!("{held_bytes} of a source after step {number}"));
+            }
+        }
         if room_bytes > limits().room_bytes || open_connections(&ledger) > 4 {
             return Some(format!("a limit is exceeded after step {number}"));
         }
