Test that an unread response gives way to a request that needs its room

handle_request_unread_response_evicted checks that a buffered response counts until its caller has read it, and that its connection has to close when another request needs the room.

--- a/crates/entry/tests/memory_budget.rs
+++ b/crates/entry/tests/memory_budget.rs
@@ -11,7 +11,7 @@
     futures_util::{stream, StreamExt},
     http_body_util::{BodyExt, StreamBody},
     hyper::{body::Frame, Method},
-    memory::Limits,
+    memory::{Limits, Phase},
     standin::{Backend, BackendKnobs},
     std::{
         io,
@@ -19,7 +19,9 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    support::{fixture_with_conventions, incoming, send, send_upload, Fixture},
+    support::{
+        document, fixture_with_conventions, incoming, send, send_upload, send_with, Fixture,
+    },
     tokio::time::{sleep, timeout},
     types::ResultCode,
 };
@@ -219,3 +221,32 @@
     let body = body.expect("a whole response").to_bytes();
     assert!(body.len() > 290_000 && body.ends_with(b"end\n"));
 }
+
+/// A response that its caller does not read was held outside the bound; it counts until it is read, and its connection is
+/// closed when others need the room.
+#[tokio::test]
+async fn handle_request_unread_response_evicted() {
+    let backend = backend().await;
+    let fixture = fixture(&backend, Duration::ZERO);
+    let budget = budget(512 << 10);
+    let (unread, other) = (budget.open(), budget.open());
+    let mut buffering = document(64 << 20, 5_000);
+    buffering.services[0].hold_bytes = 512 << 10;
+    let mut get = incoming(Method::GET, &[("x-answer-bytes", "400000")], "");
+    get.connection = Arc::clone(unread.connection());
+    let response = send_with(&fixture, get, &buffering).await;
+    assert_eq!(response.code(), ResultCode::Answered);
+    // As the front end does when the response is ready.
+    unread.connection().begin_phase(Phase::Open);
+    assert!(budget.budget.usage().0 > 350_000);
+    sleep(Duration::from_millis(JUDGED_MS)).await;
+    let must_close = unread.connection().must_close();
+    let closing = async {
+        must_close.await;
+        drop(response);
+    };
+    let complete = request(&other, body_of(400 << 10, false), None);
+    let (response, ()) = tokio::join!(send_upload(&fixture, complete), closing);
+    assert_eq!(response.code(), ResultCode::Answered);
+    assert_eq!(budget.events(), [MemoryEvent::Evicted]);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -86,7 +86,8 @@
     }
 }
 
-fn document(max_body_bytes: u64, deadline_ms: u64) -> Document {
+/// The configuration of one service.
+pub(crate) fn document(max_body_bytes: u64, deadline_ms: u64) -> Document {
     let route = |method: &str, kind| Route {
         methods: vec![method.into()],
         ..Route::new("/", "s", kind)
@@ -152,7 +153,8 @@
     send_with(fixture, incoming, &document(64 << 20, 5_000)).await
 }
 
-async fn send_with(
+/// Sends a request that is handled with `document`.
+pub(crate) async fn send_with(
     fixture: &Fixture,
     incoming: IncomingRequest,
     document: &Document,
