Close a refused connection at once when its place is needed

A connection that was closed here lingers for up to 1 s, until its caller has closed it as well, and could not be closed for another one meanwhile.

--- a/crates/front/src/commands/callers.rs
+++ b/crates/front/src/commands/callers.rs
@@ -137,7 +137,10 @@
             () = read_ahead(&mut reader, &mut sink) => return,
         };
         match served {
-            Ok(()) => discard_rest(&mut reader).await,
+            Ok(()) => tokio::select! {
+                () = open.connection().must_close() => {}
+                () = discard_rest(&mut reader) => {}
+            },
             Err(error) => log::debug!("caller's connection failed: {error}"),
         }
     });
