--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -89,6 +89,7 @@
     }
 }
 
+/// The configuration of one service.
 pub(crate) fn document(max_body_bytes: u64, deadline_ms: u64) -> Document {
     let route = |method: &str, kind| Route {
         methods: vec![method.into()],
@@ -156,7 +157,8 @@
     send_with(fixture, incoming, &document(64 << 20, 5_000)).await
 }
 
-async fn send_with(
+/// Sends a request that is handled with `document`.
+pub(crate) async fn send_with(
     fixture: &Fixture,
     incoming: IncomingRequest,
     document: &Document,
