--- a/crates/emu/tests/patterns.rs
+++ b/crates/emu/tests/patterns.rs
@@ -5,7 +5,7 @@
     commands::run,
     queries::{
         at_most_once_failed_share, failed_share, refused_share, retries_to_failing_share,
-        served_percentile_ms, served_share,
+        served_percentile_ms, served_share, server_share,
     },
     Policy, RunStats, Workload,
 };
@@ -192,3 +192,33 @@
         assert!(failed < 0.025, "{failed} of {idempotent_share}");
     }
 }
+
+/// Load: a cold server, twice as slow for 3 s, is added to 20 servers at 2.4 times the usual rate, of which 30 % fail 85 % of
+/// their work. A server without any outcome must neither stay unused beside proven ones nor be preferred to them.
+#[test]
+fn run_server_added() {
+    for idempotent_share in [0.0, 0.5, 1.0] {
+        let added_ms = 20_000;
+        let workload = Workload {
+            idempotent_share,
+            requests_per_s: 170.0,
+            server_added_ms: Some(added_ms),
+            duration_ms: 30_000,
+            ..Workload::submissions()
+        };
+        let added = workload.servers;
+        let all = runs(&workload, &Policy::new());
+        for stats in &all {
+            assert!(
+                server_share(stats, added, (added_ms, added_ms + 2_000)) > 0.0,
+                "got no work within 2 s"
+            );
+            assert_eq!(stats.shed, 0);
+        }
+        let cold_share = mean(&all, |stats| {
+            server_share(stats, added, (added_ms, added_ms + 3_000))
+        });
+        // An equal part of the requests, of which a warm server runs twice as many.
+        assert!(cold_share < 1.0 / (added as f64 + 1.0), "{cold_share}");
+    }
+}
