Queue at the data centre with the shortest wait, and ask a fourth

Cause: a request asked three pools without queueing and then queued at the nearest one. The servers of a fourth data centre were never used. The nearest pool may have no server for the request, only failing ones or a long queue; the request was then refused or failed there, though another pool would soon have had a free slot.

Change: four pools are asked, as many as the users have data centres. A pool without a free slot answers with the expected wait for a good server, or the time to the deadline if it has none, in the field that refusals have already. The number of messages grows by one where a fourth pool exists and all are busy.

Ruled out: queueing at one pool after the other until none refuses, which doubles the messages while the whole service is overloaded.

Not measured on a fleet.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -22,6 +22,7 @@
         queries::{find_instance, pool_areas},
         ClosedReason, Instance, ServerLimit, View,
     },
+    owner::{queries::pool_to_queue_at, PoolAnswer},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -39,8 +40,8 @@
 const OWNER_TIMEOUT_MS: u64 = 150;
 /// Owners tried in order before the server is chosen locally.
 const OWNERS_MAX: usize = 2;
-/// Pools tried without queueing before the request queues at the nearest.
-const POOLS_MAX: usize = 3;
+/// Pools tried without queueing before the request queues at one of them: those of four data centres, as users have them.
+const POOLS_MAX: usize = 4;
 /// Timeout for the release of a permit, in milliseconds.
 const RELEASE_TIMEOUT_MS: u64 = 500;
 /// Attempts to release a permit until the release is confirmed; the first fails if the connection no longer
@@ -116,8 +117,8 @@
     }
 }
 
-/// Requests a slot from the nearest pools without queueing, then queues at the nearest one. If the service has only one
-/// pool, the request may queue there at once.
+/// Requests a slot from the nearest pools without queueing, then queues at the nearest one or at one with a shorter wait. If the
+/// service has only one pool, the request may queue there at once.
 async fn acquire_from_pools(
     node: &Arc<Node>,
     request: &AcquireRequest,
@@ -134,15 +135,26 @@
         exclude: request.exclude.iter().cloned().chain(unreachable).collect(),
         ..request.clone()
     };
+    let mut answers = Vec::new();
     if pools.len() > 1 {
         for pool in pools.iter().take(POOLS_MAX) {
-            let result = request_from_pool(node, &view, pool, &request, credit, false).await;
-            if result.is_ok() {
-                return result;
+            match request_from_pool(node, &view, pool, &request, credit, false).await {
+                Ok(grant) => return Ok(grant),
+                Err(refusal) => answers.push(pool_answer(&refusal)),
             }
         }
     }
-    request_from_pool(node, &view, nearest, &request, credit, true).await
+    let chosen = pool_to_queue_at(&answers).and_then(|at| pools.get(at));
+    let pool = chosen.unwrap_or(nearest);
+    request_from_pool(node, &view, pool, &request, credit, true).await
+}
+
+/// Returns what the refusal of a request that was not to queue says about the pool.
+fn pool_answer(refusal: &Refusal) -> PoolAnswer {
+    match refusal.code {
+        ResultCode::Overloaded => PoolAnswer::Busy(refusal.retry_after_ms.unwrap_or_default()),
+        _ => PoolAnswer::Unusable,
+    }
 }
 
 /// Requests a slot from the pool's owner, then from the next in order, then chooses a server locally.
--- a/crates/owner/src/commands/acquire.rs
+++ b/crates/owner/src/commands/acquire.rs
@@ -65,8 +65,8 @@
 pub enum AcquireOutcome {
     /// A permit for a slot of the server is granted.
     Granted(PermitId, ServerIndex),
-    /// No permit is granted, for this reason. The second value is the time after which the caller may try again, in
-    /// milliseconds; 0 if not known.
+    /// No permit is granted, for this reason. The second value is the time after which the caller may try again, or for which
+    /// it would wait if it queued, in milliseconds; 0 if not known.
     Refused(RefusalReason, u64),
     /// The request is queued under this ticket; wait for the notification, then call [`acquire`] again.
     Wait(u64, Arc<Notify>),
@@ -124,7 +124,8 @@
         }
     }
     if !request.may_queue {
-        return AcquireOutcome::Refused(RefusalReason::Busy, 0);
+        let wait_ms = queries::good_server_wait_ms(&state.pool, now_ms, slot_request.deadline_ms);
+        return AcquireOutcome::Refused(RefusalReason::Busy, wait_ms);
     }
     let ahead = queries::waiters_ahead(&state.pool, ticket, slot_request.priority);
     if !queries::fits_deadline(&state.pool, ahead, now_ms, slot_request.deadline_ms) {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -15,6 +15,6 @@
         StandingChange, QUEUE_WAIT_MS,
     },
     pools::{PoolId, Pools},
-    queries::{PoolSnapshot, ServerSnapshot},
+    queries::{PoolAnswer, PoolSnapshot, ServerSnapshot},
     state::{PoolState, ServerMeta},
 };
