Order the queue, refusals and retries of a pool by what callers need

A pool's owner ordered waiting requests by priority and arrival, and gave retries to whoever asked first. So the less urgent kinds got nothing while the most urgent one exceeded the capacity, an account that sent six times its usual rate took the room of all others, and while servers rejected arrivals the most urgent kind lost as much as the others.

The new crate `shed` decides the class and rank of a request, which kinds and accounts are owed service, what can't be served in time, the Retry-After, and which retries get scarce credit. It learns the work of each kind from complete responses. `owner` applies the decisions.

--- a/crates/owner/src/commands/acquire.rs
+++ b/crates/owner/src/commands/acquire.rs
@@ -1,11 +1,18 @@
 //! Grants, queues or refuses requests for a permit.
 
 use {
-    crate::PoolState,
+    crate::{
+        commands::admission::{
+            arrival_of, backlog, class_of, evict_late_behind, fits_deadline, may_retry,
+            place_in_queue, record_grant, refuse, retry_after_ms,
+        },
+        PoolState,
+    },
     permit::{commands, queries, Lease, SelectError, SlotRequest, SpreadPolicy},
+    shed::{Backlog, QueueClass, RefusalKind},
     std::sync::Arc,
     tokio::sync::Notify,
-    types::{PermitId, Priority, ServerIndex},
+    types::{AccountKey, PermitId, Priority, ServerIndex},
 };
 
 /// Time for which a poll of a queued request stays open at the owner before the requester has to poll again, in
@@ -78,24 +85,35 @@
 
 /// Grants a permit to `request`, queues it or refuses it.
 ///
-/// The first active waiter is served first. A new request is served at once only if no active waiter of the same or a
-/// more urgent priority is queued.
+/// The first active waiter is served first. A new request is served at once only if no active waiter ranks before it.
 pub fn acquire(state: &mut PoolState, request: &AcquireRequest<'_>, now_ms: u64) -> AcquireOutcome {
-    let ticket = request.ticket;
     let is_retry = request.is_retry;
     state.last_request_ms = now_ms;
     if request.credit_milli > 0 {
         commands::add_credit(&mut state.retry_budget, request.credit_milli, now_ms);
     }
     commands::refresh_limits(&mut state.pool, now_ms);
-    let slot_request = slot_request(state, request, now_ms);
-    if is_retry && !queries::has_credit(&state.retry_budget, now_ms) {
-        leave_queue(state, ticket);
-        state.failure_rate.record(true, now_ms);
-        return AcquireOutcome::Refused(RefusalReason::NoBudget, 0);
+    let mut slot_request = slot_request(state, request, now_ms);
+    let arrival = arrival_of(&slot_request);
+    if let Some(outcome) = refuse_evicted(state, request.ticket, &slot_request, now_ms) {
+        return outcome;
+    }
+    let ticket = request
+        .ticket
+        .filter(|&ticket| queries::is_queued(&state.pool, ticket));
+    if is_retry {
+        if let Err(retry_after_ms) = check_retry(state, &slot_request, request.ticket, now_ms) {
+            leave_queue(state, ticket);
+            refuse(state, arrival, RefusalKind::NoRetryCredit, now_ms);
+            return AcquireOutcome::Refused(RefusalReason::NoBudget, retry_after_ms);
+        }
+    }
+    match ticket {
+        Some(ticket) => copy_class(state, &mut slot_request, ticket),
+        None => classify(state, &mut slot_request, request, now_ms),
     }
-    let ahead = queries::active_waiters_ahead(&state.pool, ticket, slot_request.priority, now_ms);
-    if ahead == 0 {
+    let place = place_in_queue(state, ticket, &slot_request, now_ms);
+    if place.active_ahead == 0 {
         match queries::select_server(
             &state.pool,
             &state.failure_rate,
@@ -114,6 +132,7 @@
                     retryable: request.idempotent && !is_retry,
                 };
                 let id = commands::grant(&mut state.pool, selection, lease, now_ms);
+                record_grant(state, id, arrival, now_ms);
                 state.wake_first_waiter(now_ms);
                 return AcquireOutcome::Granted(id, selection.server);
             }
@@ -128,16 +147,75 @@
     if !request.may_queue {
         return AcquireOutcome::Refused(RefusalReason::Busy, 0);
     }
-    let ahead = queries::waiters_ahead(&state.pool, ticket, slot_request.priority);
-    if !queries::fits_deadline(&state.pool, ahead, now_ms, slot_request.deadline_ms) {
+    let backlog = backlog(state, &slot_request, place.ahead);
+    if !fits_deadline(state, &slot_request, &backlog, now_ms) {
         leave_queue(state, ticket);
-        state.failure_rate.record(true, now_ms);
-        let drain_ms = (queries::expected_wait_us(&state.pool, ahead) / 1_000.0) as u64;
-        // Jitter, so that requests refused at the same time don't all return at the same time.
-        let retry_after_ms = drain_ms / 2 + fastrand::u64(0..=drain_ms.max(1));
+        let reason = if slot_request.is_above_share {
+            RefusalKind::FairShare
+        } else {
+            RefusalKind::Deadline
+        };
+        refuse(state, arrival, reason, now_ms);
+        let retry_after_ms = retry_after_ms(state, &slot_request, backlog, now_ms);
         return AcquireOutcome::Refused(RefusalReason::Overloaded, retry_after_ms);
     }
-    queue_request(state, slot_request, ticket, ahead, now_ms)
+    queue_request(state, slot_request, ticket, &backlog, now_ms)
+}
+
+/// Refuses a request that was evicted from the queue since its last poll.
+fn refuse_evicted(
+    state: &mut PoolState,
+    ticket: Option<u64>,
+    slot_request: &SlotRequest,
+    now_ms: u64,
+) -> Option<AcquireOutcome> {
+    state.evicted.remove(&ticket?)?;
+    let backlog = backlog(state, slot_request, queries::queue_length(&state.pool));
+    let retry_after_ms = retry_after_ms(state, slot_request, backlog, now_ms);
+    Some(AcquireOutcome::Refused(
+        RefusalReason::Overloaded,
+        retry_after_ms,
+    ))
+}
+
+/// Returns whether a retry may spend credit, or else its `Retry-After`, in milliseconds. Its first poll counts as demand for
+/// credit.
+fn check_retry(
+    state: &mut PoolState,
+    slot_request: &SlotRequest,
+    ticket: Option<u64>,
+    now_ms: u64,
+) -> Result<(), u64> {
+    if ticket.is_none() {
+        let kind = arrival_of(slot_request).kind;
+        shed::commands::record_retry(&mut state.admission, kind, now_ms);
+    }
+    may_retry(state, slot_request, now_ms)
+}
+
+/// Sets the class of a new request. A first try counts as an arrival where it may queue: it asks other pools before.
+fn classify(
+    state: &mut PoolState,
+    slot_request: &mut SlotRequest,
+    request: &AcquireRequest<'_>,
+    now_ms: u64,
+) {
+    let class = class_of(state, slot_request, now_ms);
+    slot_request.is_owed = class == QueueClass::Owed;
+    slot_request.is_above_share = class == QueueClass::AboveShare;
+    if request.may_queue && !request.is_retry {
+        let arrival = arrival_of(slot_request);
+        shed::commands::record_arrival(&mut state.admission, arrival, class, now_ms);
+    }
+}
+
+/// Copies the class of the waiter with this ticket.
+fn copy_class(state: &PoolState, slot_request: &mut SlotRequest, ticket: u64) {
+    let mut waiters = queries::waiters(&state.pool);
+    if let Some(waiter) = waiters.find(|waiter| waiter.ticket == ticket) {
+        slot_request.is_owed = waiter.request.is_owed;
+        slot_request.is_above_share = waiter.request.is_above_share;
+    }
 }
 
 fn slot_request(state: &PoolState, request: &AcquireRequest<'_>, now_ms: u64) -> SlotRequest {
@@ -157,6 +235,9 @@
         avoid_suspects: !request.may_queue
             || queries::good_servers_suffice(&state.pool, queries::queue_length(&state.pool)),
         idle_before_ms: now_ms.saturating_sub(idle_ms),
+        account: request.account.map(AccountKey::new),
+        is_above_share: false,
+        is_owed: false,
         exclude: server_indices(state, request.exclude),
     }
 }
@@ -174,10 +255,10 @@
     state: &mut PoolState,
     slot_request: SlotRequest,
     ticket: Option<u64>,
-    ahead: usize,
+    backlog: &Backlog,
     now_ms: u64,
 ) -> AcquireOutcome {
-    let half_wait_ms = (queries::expected_wait_us(&state.pool, ahead) / 2_000.0) as u64;
+    let half_wait_ms = (backlog.wait_us() / 2_000.0) as u64;
     let poll_after_ms = half_wait_ms.min(POLL_DELAY_MAX_MS);
     let is_near = poll_after_ms < QUEUE_WAIT_MS;
     let next_poll_ms = now_ms
@@ -191,8 +272,10 @@
         commands::refresh_waiter(&mut state.pool, *ticket, active_until_ms, next_poll_ms)
     });
     let ticket = existing.unwrap_or_else(|| {
-        let ticket = commands::enqueue(&mut state.pool, slot_request, now_ms);
+        let ahead = backlog.ahead;
+        let ticket = commands::enqueue_at(&mut state.pool, slot_request, ahead, now_ms);
         commands::refresh_waiter(&mut state.pool, ticket, active_until_ms, next_poll_ms);
+        evict_late_behind(state, ahead, now_ms);
         ticket
     });
     if !is_near {
--- a/crates/owner/src/commands/maintenance.rs
+++ b/crates/owner/src/commands/maintenance.rs
@@ -1,7 +1,10 @@
 //! Periodic maintenance of a pool by its owner.
 
 use {
-    crate::{commands::update_standings, PoolState},
+    crate::{
+        commands::{admission::reorder_queue, update_standings},
+        PoolState,
+    },
     outlier::{
         commands::{
             begin_ejection, end_ejection, record_in_flight_ages, record_outcome, take_due_trials,
@@ -23,6 +26,7 @@
     commands::expire_permits(&mut state.pool, now_ms);
     commands::expire_waiters(&mut state.pool, now_ms);
     drop_expired_waiters(state);
+    reorder_queue(state, now_ms);
     record_overdue_and_in_flight(state, now_ms);
     for index in take_due_trials(&mut state.health, now_ms) {
         if let Some(server) = state.pool.servers.get_mut(index) {
--- a/crates/owner/src/commands/release.rs
+++ b/crates/owner/src/commands/release.rs
@@ -1,7 +1,10 @@
 //! Releases permits and records the outcomes of the attempts made with them.
 
 use {
-    crate::{commands::update_standings, PoolState},
+    crate::{
+        commands::{admission::record_outcome_of_kind, update_standings},
+        PoolState,
+    },
     outlier::{commands::record_outcome, AttemptOutcome},
     permit::commands::{cancel_request, release_permit},
     types::{PermitId, ServerIndex},
@@ -30,6 +33,7 @@
         cancel_request(&mut state.pool, release.acquire_id);
         return state.wake_first_waiter(now_ms);
     };
+    record_outcome_of_kind(state, permit, release, now_ms);
     let permit = release_permit(&mut state.pool, permit, release.response_us);
     if let Some(server) = state.pool.names.find(release.server) {
         let retryable = permit.is_some_and(|permit| permit.retryable);
--- a/crates/owner/src/state.rs
+++ b/crates/owner/src/state.rs
@@ -5,9 +5,10 @@
 use {
     outlier::{PoolHealth, Sensitivity},
     permit::{CreditBudget, FailureRate, Pool, Standing},
+    shed::{Admission, Arrival},
     std::{collections::HashMap, sync::Arc},
     tokio::sync::Notify,
-    types::{EntityMap, ServerIndex},
+    types::{EntityMap, PermitId, ServerIndex},
 };
 
 /// State of a server besides its slots and its health.
@@ -60,6 +61,12 @@
     pub health: PoolHealth,
     /// Further state of the servers.
     pub server_meta: EntityMap<ServerIndex, ServerMeta>,
+    /// What was learned about the requests for the order of the queue and for refusals.
+    pub admission: Admission,
+    /// Kinds and accounts of the requests that hold a permit.
+    pub(crate) permit_arrivals: HashMap<PermitId, Arrival>,
+    /// Evicted waiters whose next poll is to be refused, by ticket, with the time of the eviction, in milliseconds.
+    pub(crate) evicted: HashMap<u64, u64>,
     /// Notifications of waiters with an open poll, by ticket.
     pub(crate) waiters: HashMap<u64, Arc<Notify>>,
     /// Sensitivity of the outlier detector.
@@ -88,6 +95,9 @@
             pool: Pool::with_first_permit(fastrand::u64(1..u64::MAX / 2)),
             health: PoolHealth::new(),
             server_meta: EntityMap::new(),
+            admission: Admission::new(),
+            permit_arrivals: HashMap::new(),
+            evicted: HashMap::new(),
             waiters: HashMap::new(),
             sensitivity: Sensitivity::careful(),
             floor_slots: 0,
--- a/crates/permit/src/commands.rs
+++ b/crates/permit/src/commands.rs
@@ -12,7 +12,9 @@
     permits::{
         cancel_request, expire_permits, grant, mark_overdue, release_permit, seed_service_time,
     },
-    queue::{enqueue, expire_waiters, refresh_waiter, remove_waiter},
+    queue::{
+        enqueue, enqueue_at, expire_waiters, mark_owed, refresh_waiter, remove_waiter, sort_queue,
+    },
     rate_limit::{add_time_share, refresh_limits, set_rate_limit},
     servers::upsert_server,
     stall::record_activity,
--- a/crates/permit/src/commands/queue.rs
+++ b/crates/permit/src/commands/queue.rs
@@ -8,16 +8,21 @@
 /// Queues a request behind those of the same or a more urgent priority and returns its ticket. The waiter is inactive,
 /// that is, no slot is granted to it, until [`refresh_waiter`] is called.
 pub fn enqueue(pool: &mut Pool, request: SlotRequest, now_ms: u64) -> u64 {
+    let position = queries::waiters_ahead(pool, None, request.priority);
+    enqueue_at(pool, request, position, now_ms)
+}
+
+/// Queues a request behind the first `position` waiters and returns its ticket; it is inactive as with [`enqueue`].
+pub fn enqueue_at(pool: &mut Pool, request: SlotRequest, position: usize, now_ms: u64) -> u64 {
     pool.last_ticket += 1;
     let ticket = pool.last_ticket;
-    let position = queries::waiters_ahead(pool, None, request.priority);
     let waiter = Waiter {
         ticket,
         active_until_ms: now_ms,
         expires_ms: now_ms + POLL_GRACE_MS,
         request,
     };
-    pool.queue.insert(position, waiter);
+    pool.queue.insert(position.min(pool.queue.len()), waiter);
     ticket
 }
 
@@ -39,6 +44,25 @@
     }
 }
 
+/// Orders the queue by `rank`, the smallest first; waiters of the same rank keep their order.
+pub fn sort_queue<Rank, RankOf>(pool: &mut Pool, rank_of: RankOf)
+where
+    Rank: Ord,
+    RankOf: FnMut(&Waiter) -> Rank,
+{
+    pool.queue.make_contiguous().sort_by_cached_key(rank_of);
+}
+
+/// Marks the waiters for which `is_owed` holds as owed service, and the others as not; it is asked in queue order.
+pub fn mark_owed<IsOwed>(pool: &mut Pool, mut is_owed: IsOwed)
+where
+    IsOwed: FnMut(&SlotRequest) -> bool,
+{
+    for waiter in &mut pool.queue {
+        waiter.request.is_owed = is_owed(&waiter.request);
+    }
+}
+
 /// Removes the waiter with this ticket from the queue.
 pub fn remove_waiter(pool: &mut Pool, ticket: u64) {
     pool.queue.retain(|waiter| waiter.ticket != ticket);
--- a/crates/permit/src/pool.rs
+++ b/crates/permit/src/pool.rs
@@ -1,7 +1,7 @@
 //! The state of one pool: its servers, the outstanding permits and the queue.
 //!
-//! Invariants: a server's `held` equals the number of its outstanding permits; the queue is ordered by priority, then
-//! by arrival; a permit is reclaimed when its lease expires, so that a crashed entry instance can't leak slots.
+//! Invariants: a server's `held` equals the number of its outstanding permits; the queue is in the order
+//! that its owner decides; a permit is reclaimed when its lease expires, so that a crashed entry instance can't leak slots.
 
 use {
     crate::RateLimit,
@@ -9,7 +9,7 @@
         collections::{HashMap, VecDeque},
         net::SocketAddr,
     },
-    types::{EntityMap, Interner, PermitId, Priority, ServerIndex},
+    types::{AccountKey, EntityMap, Interner, PermitId, Priority, ServerIndex},
 };
 
 /// Health of a server according to the outlier detector, from best to worst.
@@ -125,6 +125,12 @@
     pub idle_before_ms: u64,
     /// Whether to wait for a good server instead of using a suspect.
     pub avoid_suspects: bool,
+    /// Client account, if the request belongs to one.
+    pub account: Option<AccountKey>,
+    /// Whether its account sent far more than its share when it arrived.
+    pub is_above_share: bool,
+    /// Whether it is served before the others because its kind or account was served too seldom.
+    pub is_owed: bool,
     /// Servers that are not selected because the request was sent to them before.
     pub exclude: Vec<ServerIndex>,
 }
@@ -217,7 +223,7 @@
     pub(crate) permits: HashMap<PermitId, Permit>,
     /// Id of the next permit.
     pub(crate) next_permit: u64,
-    /// Waiters by priority, then by arrival.
+    /// Waiters, the first to be served first.
     pub(crate) queue: VecDeque<Waiter>,
     /// Ticket that was issued last; 0 before the first.
     pub(crate) last_ticket: u64,
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -6,7 +6,7 @@
         CreditBudget, FailureRate, Pool, SelectError, Selection, Server, SlotRequest, SpreadPolicy,
         Standing, Waiter,
     },
-    types::{EntityMap, Priority, ServerIndex},
+    types::{EntityMap, PermitId, Priority, ServerIndex},
 };
 
 /// Least rate with which the time of a round is computed, in requests per second, so that it stays finite.
@@ -145,8 +145,14 @@
 }
 
 /// Returns the expected wait behind `ahead` waiters, in microseconds, estimated from the mean service time, the usable slots
-/// and the servers' limits. Slots of suspect servers count only if there is no good server.
+/// and the servers' limits.
 pub fn expected_wait_us(pool: &Pool, ahead: usize) -> f64 {
+    (ahead as f64 + 1.0) * pool.mean_service_us / sustained_slots_total(pool)
+}
+
+/// Returns the number of slots that the pool can keep in use, at least a small one. Slots of suspect servers count only if
+/// there is no good server.
+pub fn sustained_slots_total(pool: &Pool) -> f64 {
     let slots_of = |accepts: &dyn Fn(Standing) -> bool| -> f64 {
         let usable = pool.servers.iter().filter(|(_, server)| is_usable(server));
         usable
@@ -160,7 +166,7 @@
     } else {
         slots_of(&|_| true)
     };
-    (ahead as f64 + 1.0) * pool.mean_service_us / slots.max(SUSTAINED_SLOTS_MIN)
+    slots.max(SUSTAINED_SLOTS_MIN)
 }
 
 /// Returns the number of queued requests.
@@ -235,6 +241,21 @@
     servers.any(|(_, server)| is_usable(server) && server.standing == Standing::Good)
 }
 
+/// Iterates over the waiters in queue order.
+pub fn waiters(pool: &Pool) -> impl DoubleEndedIterator<Item = &Waiter> + '_ {
+    pool.queue.iter()
+}
+
+/// Returns whether the waiter with this ticket is in the queue.
+pub fn is_queued(pool: &Pool, ticket: u64) -> bool {
+    pool.queue.iter().any(|waiter| waiter.ticket == ticket)
+}
+
+/// Returns whether the permit is outstanding.
+pub fn is_outstanding(pool: &Pool, id: PermitId) -> bool {
+    pool.permits.contains_key(&id)
+}
+
 /// Iterates over the tickets in queue order.
 pub fn queued_tickets(pool: &Pool) -> impl Iterator<Item = u64> + '_ {
     pool.queue.iter().map(|waiter| waiter.ticket)
--- /dev/null
+++ b/crates/shed/src/queries.rs
@@ -0,0 +1,13 @@
+//! Queries: decisions that read what was learned and change nothing.
+
+mod fairness;
+mod order;
+mod refusal;
+mod retry;
+
+pub use self::{
+    fairness::{owed_accounts, owed_kinds, queue_class, served_percent},
+    order::{expected_work_us, rank, Rank},
+    refusal::{drain_per_s, fits, rejected_permille, retry_after_ms, Backlog, ReturnTerms},
+    retry::{may_retry, retry_return_ms, RetryTerms},
+};
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -2,6 +2,8 @@
 //!
 //! An index is only meaningful together with the [`Interner`](crate::Interner) that assigned it.
 
+use crate::shard_hash;
+
 /// Defines a newtype for a dense index with conversions from and to `usize`.
 macro_rules! entity {
     ($(#[$doc:meta])* $name:ident) => {
@@ -51,3 +53,14 @@
         self.0
     }
 }
+
+/// Identifies a client account within this process, by a hash of its name.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct AccountKey(u64);
+
+impl AccountKey {
+    /// Creates the key of the account with this name.
+    pub fn new(name: &str) -> Self {
+        Self(shard_hash(name))
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use crate::{
     backoff::exponential_backoff_ms,
-    ids::{DataCentreIndex, PermitId, ServerIndex, ServiceIndex},
+    ids::{AccountKey, DataCentreIndex, PermitId, ServerIndex, ServiceIndex},
     map::{EntityMap, Interner},
     priority::Priority,
     result_code::{ExecutionStatus, ResultCode},
