Count and log what the owner of a pool refuses

An operator could not see why a pool refused requests. The counter `catkinhitch_admission_refusals_total` has the refusals by service and reason, and the line `decision.admission` is logged when a pool begins to refuse and when it has not refused anything for 2 s, with the queue, the drain rate, the share that servers reject and the credit for retries. The volume is at most two lines in 2 s for each pool.

--- a/crates/daemon/src/commands.rs
+++ b/crates/daemon/src/commands.rs
@@ -1,6 +1,7 @@
 //! Commands: operations that modify the node's state or make other instances modify theirs.
 
 mod acquire;
+mod admission_report;
 mod adopt_config;
 mod assemble;
 mod change_config;
--- a/crates/daemon/src/commands/pool_maintenance.rs
+++ b/crates/daemon/src/commands/pool_maintenance.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        commands::{eject, fold_ejections::unfollow_unowned, pool_sync::sync_pool, probe},
+        commands::{
+            admission_report::report_admission, eject, fold_ejections::unfollow_unowned,
+            pool_sync::sync_pool, probe,
+        },
         Node,
     },
     log::info,
@@ -65,6 +68,7 @@
         let names = ejected.get(&state.service).map_or(&[][..], Vec::as_slice);
         run_maintenance(state, names, now_ms);
         log_standing_changes(node, state);
+        report_admission(node, state, now_ms);
         state.wake_first_waiter(now_ms);
     });
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -51,6 +51,8 @@
     pub(crate) log_age: IntGauge,
     /// Credit left for retries in the pools that this instance owns, in thousandths of a retry.
     pub(crate) retry_credit: IntGaugeVec,
+    /// Requests refused as owner of their pool, by service and reason.
+    pub(crate) admission_refusals: IntCounterVec,
     /// Server choices made without an owner, by reason.
     pub(crate) owner_fallbacks: IntCounterVec,
     /// Calls to other instances, by method and outcome.
@@ -117,6 +119,12 @@
                 "Credit left for retries, in thousandths of a retry",
                 &["service", "area"],
             )?,
+            admission_refusals: counter_vec(
+                &registry,
+                "admission_refusals_total",
+                "Requests refused as owner of their pool",
+                &["service", "reason"],
+            )?,
             owner_fallbacks: counter_vec(
                 &registry,
                 "owner_fallbacks_total",
