Count requests at servers when a kind or an account is owed service

What is owed was computed from complete responses alone, so that the requests sent for it were owed again until they were complete, and more of them were sent than promised. Requests at servers now count as served.

--- a/crates/owner/src/commands/admission.rs
+++ b/crates/owner/src/commands/admission.rs
@@ -179,7 +179,7 @@
 /// Records the grant of a permit.
 pub(crate) fn record_grant(state: &mut PoolState, id: PermitId, arrival: Arrival, now_ms: u64) {
     shed::commands::record_drained(&mut state.admission, now_ms);
-    shed::commands::record_sent(&mut state.admission, now_ms);
+    shed::commands::record_sent(&mut state.admission, arrival, now_ms);
     state.permit_arrivals.insert(id, arrival);
 }
 
@@ -199,6 +199,7 @@
     let Some(arrival) = state.permit_arrivals.remove(&id) else {
         return;
     };
+    shed::commands::record_ended(&mut state.admission, arrival, now_ms);
     match (release.outcome, release.response_us) {
         (AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedLate { .. }, Some(us)) => {
             let mean_us = queries::mean_service_us(&state.pool);
@@ -260,10 +261,7 @@
         .evicted
         .retain(|_, evicted_ms| now_ms < *evicted_ms + EVICTED_MS);
     if state.permit_arrivals.len() > queries::outstanding_permits(&state.pool) {
-        let pool = &state.pool;
-        state
-            .permit_arrivals
-            .retain(|id, _| queries::is_outstanding(pool, *id));
+        forget_expired_permits(state, now_ms);
     }
     if queries::queue_length(&state.pool) == 0 {
         return;
@@ -277,6 +275,17 @@
     });
 }
 
+fn forget_expired_permits(state: &mut PoolState, now_ms: u64) {
+    let (pool, admission) = (&state.pool, &mut state.admission);
+    state.permit_arrivals.retain(|id, arrival| {
+        let is_outstanding = queries::is_outstanding(pool, *id);
+        if !is_outstanding {
+            shed::commands::record_ended(admission, *arrival, now_ms);
+        }
+        is_outstanding
+    });
+}
+
 /// Returns what was refused since the last call, and whether the pool began or ended to refuse.
 pub fn take_admission_report(state: &mut PoolState, now_ms: u64) -> Option<Report> {
     shed::commands::take_report(&mut state.admission, now_ms)
--- a/crates/shed/src/admission.rs
+++ b/crates/shed/src/admission.rs
@@ -71,6 +71,8 @@
 pub(crate) struct ServedCounts {
     pub(crate) served: DecayedCount,
     pub(crate) lost: DecayedCount,
+    /// Requests at servers, which are expected to be served.
+    pub(crate) in_flight: u32,
 }
 
 /// What is known about one kind.
--- a/crates/shed/src/commands.rs
+++ b/crates/shed/src/commands.rs
@@ -5,8 +5,8 @@
 
 pub use self::{
     record::{
-        record_arrival, record_credit, record_drained, record_refusal, record_rejection,
-        record_retry, record_sent, record_served,
+        record_arrival, record_credit, record_drained, record_ended, record_refusal,
+        record_rejection, record_retry, record_sent, record_served,
     },
     report::take_report,
 };
--- a/crates/shed/src/commands/record.rs
+++ b/crates/shed/src/commands/record.rs
@@ -36,8 +36,16 @@
 }
 
 /// Records that a request was sent to a server.
-pub fn record_sent(admission: &mut Admission, now_ms: u64) {
+pub fn record_sent(admission: &mut Admission, arrival: Arrival, now_ms: u64) {
     admission.sent.add(1.0, RECENT_DECAY_MS, now_ms);
+    for_counts(admission, arrival, now_ms, |counts| counts.in_flight += 1);
+}
+
+/// Records that a request which was sent to a server is no longer there.
+pub fn record_ended(admission: &mut Admission, arrival: Arrival, now_ms: u64) {
+    for_counts(admission, arrival, now_ms, |counts| {
+        counts.in_flight = counts.in_flight.saturating_sub(1);
+    });
 }
 
 /// Records that a server rejected a request without running it.
@@ -54,19 +62,16 @@
     mean_us: f64,
     now_ms: u64,
 ) {
-    let served = |counts: &mut ServedCounts| counts.served.add(1.0, SERVED_DECAY_MS, now_ms);
-    served(&mut admission.served);
+    for_counts(admission, arrival, now_ms, |counts| {
+        counts.served.add(1.0, SERVED_DECAY_MS, now_ms);
+    });
     let state = kind_state(admission, arrival.kind, now_ms);
-    served(&mut state.served);
     let sample_us = response_us as f64;
     if state.samples == 0 {
         state.work_us = if mean_us > 0.0 { mean_us } else { sample_us };
     }
     state.work_us += WORK_WEIGHT * (sample_us - state.work_us);
     state.samples = state.samples.saturating_add(1);
-    if let Some(account) = arrival.account {
-        served(&mut account_state(admission, account, now_ms).served);
-    }
 }
 
 /// Records that a request was refused.
@@ -76,12 +81,9 @@
     reason: RefusalKind,
     now_ms: u64,
 ) {
-    let lost = |counts: &mut ServedCounts| counts.lost.add(1.0, SERVED_DECAY_MS, now_ms);
-    lost(&mut admission.served);
-    lost(&mut kind_state(admission, arrival.kind, now_ms).served);
-    if let Some(account) = arrival.account {
-        lost(&mut account_state(admission, account, now_ms).served);
-    }
+    for_counts(admission, arrival, now_ms, |counts| {
+        counts.lost.add(1.0, SERVED_DECAY_MS, now_ms);
+    });
     let report = &mut admission.report;
     for counts in [&mut report.refused, &mut report.episode] {
         match reason {
@@ -106,6 +108,18 @@
     admission.credit.add(retries, RECENT_DECAY_MS, now_ms);
 }
 
+/// Applies `change` to the counts of all requests, of the kind and of the account.
+fn for_counts<Change>(admission: &mut Admission, arrival: Arrival, now_ms: u64, change: Change)
+where
+    Change: Fn(&mut ServedCounts),
+{
+    change(&mut admission.served);
+    change(&mut kind_state(admission, arrival.kind, now_ms).served);
+    if let Some(account) = arrival.account {
+        change(&mut account_state(admission, account, now_ms).served);
+    }
+}
+
 /// Returns the state of a kind. If there are too many, it replaces the one whose last arrival is longest ago.
 fn kind_state(admission: &mut Admission, kind: Kind, now_ms: u64) -> &mut KindState {
     let kinds = &mut admission.kinds;
--- a/crates/shed/src/queries/fairness.rs
+++ b/crates/shed/src/queries/fairness.rs
@@ -88,15 +88,19 @@
     state.within.per_s(RECENT_DECAY_MS, now_ms) < allowed_per_s
 }
 
+/// Returns the served requests and all that were decided; those at servers count as served.
+fn served_and_decided(counts: &ServedCounts, now_ms: u64) -> (f64, f64) {
+    let served = counts.served.value(SERVED_DECAY_MS, now_ms) + f64::from(counts.in_flight);
+    (served, served + counts.lost.value(SERVED_DECAY_MS, now_ms))
+}
+
 fn served_share(counts: &ServedCounts, now_ms: u64) -> Option<f64> {
-    let served = counts.served.value(SERVED_DECAY_MS, now_ms);
-    let decided = served + counts.lost.value(SERVED_DECAY_MS, now_ms);
+    let (served, decided) = served_and_decided(counts, now_ms);
     (decided >= DECIDED_MIN).then(|| served / decided)
 }
 
 /// Returns how many more of the decided requests should have been served for a share of `least`.
 fn missing_requests(counts: &ServedCounts, least: f64, now_ms: u64) -> usize {
-    let served = counts.served.value(SERVED_DECAY_MS, now_ms);
-    let decided = served + counts.lost.value(SERVED_DECAY_MS, now_ms);
+    let (served, decided) = served_and_decided(counts, now_ms);
     (decided * least - served).max(0.0).ceil() as usize
 }
