Close the connection of a refused body after its response

An evicted connection can reserve nothing any more. If the rest of its body still arrived after the refusal, the connection was kept, and every further request with a body on it would have been refused as well. The response to a request on an evicted connection now carries `Connection: close`.

handle_request_stalled_body_evicted checks that the connection is known as evicted; no test checks the header itself. All tests of entry and front pass.

--- a/crates/entry/src/memory_budget.rs
+++ b/crates/entry/src/memory_budget.rs
@@ -227,6 +227,11 @@
         self.demanded(Demand::StopReceiving).await;
     }
 
+    /// Returns whether the connection was evicted. It serves no further request then, since nothing is held for it any more.
+    pub fn is_evicted(&self) -> bool {
+        *self.signal.borrow() != Demand::None
+    }
+
     /// Waits until the connection must be closed.
     pub async fn must_close(&self) {
         self.demanded(Demand::Close).await;
--- a/crates/entry/tests/memory_budget.rs
+++ b/crates/entry/tests/memory_budget.rs
@@ -155,6 +155,8 @@
     let budget = budget(256 << 10);
     let (stalled, other) = (budget.open(), budget.open());
     let for_stalled = Arc::clone(&fixture);
+    let connection = Arc::clone(stalled.connection());
+    assert!(!connection.is_evicted());
     let refused = tokio::spawn(async move {
         let request = request(&stalled, body_of(200 << 10, true), None);
         send_upload(&for_stalled, request).await.code()
@@ -164,6 +166,8 @@
     let response = send_upload(&fixture, complete).await;
     assert_eq!(response.code(), ResultCode::Answered);
     assert_eq!(refused.await.expect("no panic"), ResultCode::NoRoom);
+    // Otherwise a further request on the connection would be refused as well.
+    assert!(connection.is_evicted(), "the connection is kept");
     assert_eq!(budget.events(), [MemoryEvent::Evicted]);
     assert_eq!(backend.arrivals().len(), 1);
 }
--- a/crates/front/src/commands/callers.rs
+++ b/crates/front/src/commands/callers.rs
@@ -65,7 +65,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     serve_connection(stream, peer.ip(), &callers, &graceful);
-                    // An evicted connection closes before the next one is accepted.
+                    // Lets an evicted connection close before the next one is accepted.
                     yield_now().await;
                 }
                 // Most likely the process is out of file descriptors, and other connections must close first.
@@ -169,7 +169,7 @@
     connection.begin_phase(Phase::Open);
     let mut response =
         response.map(|body| MeasuredBody::of_response(body, &connection).boxed_unsync());
-    if (callers.is_draining)() {
+    if (callers.is_draining)() || connection.is_evicted() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
