Count grants by kind of request and proof of the server

An operator could not see whether second tries and requests that may run only once go to proven servers.

--- a/crates/daemon/src/commands/permit_acquire.rs
+++ b/crates/daemon/src/commands/permit_acquire.rs
@@ -12,6 +12,7 @@
         commands::apply_limit_share, AcquireOutcome, AcquireRequest, LimitShare, NamedLimit,
         PoolId, PoolState, RefusalReason, QUEUE_WAIT_MS,
     },
+    permit::queries::is_proven,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -113,6 +114,7 @@
         let state = get_or_open_pool(node, pools, id, &request.service, &request.area, now_ms);
         match owner::commands::acquire(state, acquire_request, now_ms) {
             AcquireOutcome::Granted(permit, server) => {
+                count_grant(node, acquire_request, state, server);
                 TryResult::Granted(granted_response(state, permit, server))
             }
             AcquireOutcome::Refused(reason, retry_after_ms) => TryResult::Refused(PermitResponse {
@@ -183,6 +185,26 @@
     }
 }
 
+/// Counts a grant. The share of second tries and of requests that may run only once that go to unproven servers shows how
+/// server selection works.
+fn count_grant(node: &Node, request: &AcquireRequest<'_>, state: &PoolState, server: ServerIndex) {
+    let kind = match (request.is_retry, request.idempotent) {
+        (true, _) => "retry",
+        (false, true) => "idempotent",
+        (false, false) => "once",
+    };
+    let server = state.pool.servers.get(server);
+    let proof = if server.is_some_and(is_proven) {
+        "proven"
+    } else {
+        "unproven"
+    };
+    node.metrics
+        .granted_permits
+        .with_label_values(&[kind, proof])
+        .inc();
+}
+
 fn count_response(node: &Node, response: PermitResponse) -> PermitResponse {
     let verdict = response.verdict.to_string();
     node.metrics
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) retries: IntCounterVec,
     /// Permit requests answered as owner, by verdict.
     pub(crate) permit_requests: IntCounterVec,
+    /// Permits granted as owner, by kind of request and by what the last outcomes of the server show.
+    pub(crate) granted_permits: IntCounterVec,
     /// Outstanding permits, by pool.
     pub(crate) held_permits: IntGaugeVec,
     /// Time that granted permit requests waited in the queue.
@@ -87,6 +89,12 @@
                 "Permit asks as owner",
                 &["verdict"],
             )?,
+            granted_permits: counter_vec(
+                &registry,
+                "permits_granted_total",
+                "Permits granted as owner",
+                &["request", "server"],
+            )?,
             held_permits: gauge_vec(
                 &registry,
                 "permits_held",
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -96,9 +96,7 @@
     if candidates.is_empty() {
         return Err(SelectError::NoServer);
     }
-    let has_proven = candidates
-        .iter()
-        .any(|(_, server)| proof(server) == Proof::Succeeded);
+    let has_proven = candidates.iter().any(|(_, server)| is_proven(server));
     let may_use = |server: &Server| {
         let is_avoided = request.avoid_suspects && has_proven && proof(server) == Proof::Failed;
         has_free_slot(server) && !is_avoided
@@ -384,6 +382,11 @@
     Failed,
 }
 
+/// Returns whether the last request that the server completed began after its last failure.
+pub fn is_proven(server: &Server) -> bool {
+    proof(server) == Proof::Succeeded
+}
+
 fn proof(server: &Server) -> Proof {
     match (server.last_succeeded_ms, server.last_failed_ms) {
         (None, None) => Proof::Unknown,
--- a/crates/permit/tests/pool.rs
+++ b/crates/permit/tests/pool.rs
@@ -7,8 +7,8 @@
             refresh_waiter, release_permit, upsert_server,
         },
         queries::{
-            first_active_waiter, fits_deadline, good_servers_suffice, outstanding_permits,
-            select_best, select_idle, select_server, waiters_ahead,
+            first_active_waiter, fits_deadline, good_servers_suffice, is_proven,
+            outstanding_permits, select_best, select_idle, select_server, waiters_ahead,
         },
         FailureRate, Lease, Pool, SelectError, Selection, SlotRequest, SpreadPolicy, Standing,
     },
@@ -361,6 +361,27 @@
     pool
 }
 
+/// A request that began before a failure, or at the same time, proves nothing about the time after it.
+#[test]
+fn is_proven_later_success_only() {
+    let cases = [
+        (None, None, false),
+        (Some(5), None, true),
+        (Some(5), Some(4), true),
+        (Some(5), Some(5), false),
+        (None, Some(4), false),
+    ];
+    for (succeeded_ms, failed_ms, expected) in cases {
+        let pool = pool_with_outcomes(&[(succeeded_ms, failed_ms, Standing::Good)]);
+        let server = pool.servers.get(ServerIndex::from(0)).expect("listed");
+        assert_eq!(
+            is_proven(server),
+            expected,
+            "{succeeded_ms:?} {failed_ms:?}"
+        );
+    }
+}
+
 fn retry() -> SlotRequest {
     SlotRequest {
         is_retry: true,
