--- a/crates/shed/src/admission.rs
+++ b/crates/shed/src/admission.rs
@@ -93,7 +93,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AccountState {
     pub(crate) arrivals: DecayedCount,
-    /// Arrivals that were within the account's share, over the time for which a usual rate is measured.
+    /// Arrivals that count towards the account's usual rate.
     pub(crate) usual: DecayedCount,
     /// Recent arrivals that were within the account's share.
     pub(crate) within: DecayedCount,
@@ -112,7 +112,7 @@
     pub(crate) drained: DecayedCount,
     /// Time of the first arrival of a request with an account, in milliseconds.
     pub(crate) first_arrival_ms: Option<u64>,
-    /// The accounts' arrivals within their shares, over the time for which a usual rate is measured.
+    /// Arrivals that count towards the usual rate of any account.
     pub(crate) account_usual: DecayedCount,
     /// Attempts sent to servers, and those that a server rejected without running them.
     pub(crate) sent: DecayedCount,
@@ -128,4 +128,14 @@
     pub fn new() -> Self {
         Self::default()
     }
+
+    /// Returns the number of kinds that are told apart.
+    pub fn kind_count(&self) -> usize {
+        self.kinds.len()
+    }
+
+    /// Returns the number of accounts that are told apart.
+    pub fn account_count(&self) -> usize {
+        self.accounts.len()
+    }
 }
--- a/crates/shed/src/commands/record.rs
+++ b/crates/shed/src/commands/record.rs
@@ -6,7 +6,7 @@
             AccountState, KindState, ServedCounts, RECENT_DECAY_MS, SERVED_DECAY_MS, USUAL_DECAY_MS,
         },
         pace::Phase,
-        queries::tokens,
+        queries::{counts_as_usual, tokens},
         Admission, Arrival, Kind, QueueClass, RefusalKind, ACCOUNTS_MAX, KINDS_MAX,
     },
     types::AccountKey,
@@ -22,10 +22,13 @@
         return;
     };
     let is_within = class != QueueClass::AboveShare;
+    let is_usual = is_within && counts_as_usual(admission, account, now_ms);
     let state = account_state(admission, account, now_ms);
     state.arrivals.add(1.0, RECENT_DECAY_MS, now_ms);
     if is_within {
         state.within.add(1.0, RECENT_DECAY_MS, now_ms);
+    }
+    if is_usual {
         state.usual.add(1.0, USUAL_DECAY_MS, now_ms);
         admission.account_usual.add(1.0, USUAL_DECAY_MS, now_ms);
     }
--- a/crates/shed/src/queries.rs
+++ b/crates/shed/src/queries.rs
@@ -6,6 +6,7 @@
 mod refusal;
 mod retry;
 
+pub(crate) use self::fairness::counts_as_usual;
 pub(crate) use self::pace::{tokens, REJECTING_PERMILLE};
 pub use self::{
     fairness::{owed_accounts, owed_kinds, queue_class, served_percent},
--- a/crates/shed/src/queries/fairness.rs
+++ b/crates/shed/src/queries/fairness.rs
@@ -21,6 +21,9 @@
 /// Multiple of its usual rate, or of that of a mean account, from which an account is far above its share. Quotas are
 /// about 1.6 times the usual rate, and a burst within the quota is no reason to wait first.
 const FAR_ABOVE: f64 = 2.0;
+/// Multiple of its usual rate up to which requests of an account count towards it; the usual rate can double in about two
+/// minutes.
+const USUAL_GROWTH: f64 = 1.2;
 
 /// Returns the kinds that are owed service, with the number of requests that are owed. A kind's share of served requests must
 /// reach a part of that of all requests, and nearly that of each less urgent kind.
@@ -70,9 +73,20 @@
     }
 }
 
-/// Returns whether one more request of `account` is within its share: a multiple of what it usually sends, or of what an
-/// account of this pool usually sends. What was above the share doesn't count as usual, so that a burst doesn't raise it.
+/// Returns whether one more request of `account` is within its share, a multiple of its usual rate.
 fn is_within_share(admission: &Admission, account: AccountKey, now_ms: u64) -> bool {
+    is_below(admission, account, FAR_ABOVE, now_ms)
+}
+
+/// Returns whether one more request of `account` counts towards its usual rate. A burst would raise it otherwise, the more
+/// so the shorter the owner has known the account.
+pub(crate) fn counts_as_usual(admission: &Admission, account: AccountKey, now_ms: u64) -> bool {
+    is_below(admission, account, USUAL_GROWTH, now_ms)
+}
+
+/// Returns whether what `account` recently sent within its share is below `multiple` of its usual rate, or of that of a mean
+/// account of this pool.
+fn is_below(admission: &Admission, account: AccountKey, multiple: f64, now_ms: u64) -> bool {
     let first_ms = admission.first_arrival_ms.unwrap_or(now_ms);
     let age_ms = now_ms.saturating_sub(first_ms);
     let state = admission.accounts.get(&account);
@@ -84,8 +98,8 @@
     let usual_per_s = state.usual.per_s(USUAL_DECAY_MS, now_ms) / reached;
     let all_usual_per_s = admission.account_usual.per_s(USUAL_DECAY_MS, now_ms) / reached;
     let equal_part_per_s = all_usual_per_s / admission.accounts.len().max(1) as f64;
-    let allowed_per_s = FAR_ABOVE * usual_per_s.max(equal_part_per_s);
-    state.within.per_s(RECENT_DECAY_MS, now_ms) < allowed_per_s
+    let limit_per_s = multiple * usual_per_s.max(equal_part_per_s);
+    state.within.per_s(RECENT_DECAY_MS, now_ms) < limit_per_s
 }
 
 /// Returns the served requests and all that were decided; those at servers count as served.
