Serve the oldest requests of an account first when it has room in its share

A waiter above its account's share stayed behind all others until its deadline, while newer requests of the account, within the share again, went before it. The owner's maintenance now takes the oldest waiters into the share, and a new request of the account queues behind them.

--- a/crates/owner/src/commands/admission.rs
+++ b/crates/owner/src/commands/admission.rs
@@ -56,6 +56,13 @@
             return QueueClass::Owed;
         }
     }
+    let mut waiters = queries::waiters(&state.pool);
+    let waits_above_share = |waiter: &Waiter| {
+        waiter.request.is_above_share && waiter.request.account == request.account
+    };
+    if waiters.any(waits_above_share) {
+        return QueueClass::AboveShare;
+    }
     queue_class(&state.admission, arrival, now_ms)
 }
 
@@ -285,7 +292,18 @@
     }
     evict_too_late(state, now_ms);
     let mut owed = Owed::new(state, now_ms);
-    commands::mark_owed(&mut state.pool, |request| owed.take(arrival_of(request)));
+    let admission = &mut state.admission;
+    commands::update_waiters(&mut state.pool, |request| {
+        let arrival = arrival_of(request);
+        request.is_owed = owed.take(arrival);
+        // The account has room within its share again, which its oldest waiters get before what arrives.
+        if request.is_above_share
+            && queue_class(admission, arrival, now_ms) != QueueClass::AboveShare
+        {
+            request.is_above_share = false;
+            shed::commands::record_within_share(admission, arrival, now_ms);
+        }
+    });
     commands::sort_queue(&mut state.pool, |waiter| {
         let candidate = candidate(&waiter.request);
         (candidate.class, candidate.priority)
--- a/crates/permit/src/commands.rs
+++ b/crates/permit/src/commands.rs
@@ -13,7 +13,8 @@
         cancel_request, expire_permits, grant, mark_overdue, release_permit, seed_service_time,
     },
     queue::{
-        enqueue, enqueue_at, expire_waiters, mark_owed, refresh_waiter, remove_waiter, sort_queue,
+        enqueue, enqueue_at, expire_waiters, refresh_waiter, remove_waiter, sort_queue,
+        update_waiters,
     },
     rate_limit::{add_time_share, refresh_limits, set_rate_limit},
     servers::upsert_server,
--- a/crates/permit/src/commands/queue.rs
+++ b/crates/permit/src/commands/queue.rs
@@ -53,13 +53,13 @@
     pool.queue.make_contiguous().sort_by_cached_key(rank_of);
 }
 
-/// Marks the waiters for which `is_owed` holds as owed service, and the others as not; it is asked in queue order.
-pub fn mark_owed<IsOwed>(pool: &mut Pool, mut is_owed: IsOwed)
+/// Applies `update` to the waiting requests in queue order.
+pub fn update_waiters<Update>(pool: &mut Pool, mut update: Update)
 where
-    IsOwed: FnMut(&SlotRequest) -> bool,
+    Update: FnMut(&mut SlotRequest),
 {
     for waiter in &mut pool.queue {
-        waiter.request.is_owed = is_owed(&waiter.request);
+        update(&mut waiter.request);
     }
 }
 
--- a/crates/shed/src/commands/record.rs
+++ b/crates/shed/src/commands/record.rs
@@ -21,18 +21,26 @@
     let Some(account) = arrival.account else {
         return;
     };
-    let is_within = class != QueueClass::AboveShare;
-    let is_usual = is_within && counts_as_usual(admission, account, now_ms);
     let state = account_state(admission, account, now_ms);
     state.arrivals.add(1.0, RECENT_DECAY_MS, now_ms);
-    if is_within {
-        state.within.add(1.0, RECENT_DECAY_MS, now_ms);
+    admission.first_arrival_ms.get_or_insert(now_ms);
+    if class != QueueClass::AboveShare {
+        record_within_share(admission, arrival, now_ms);
     }
+}
+
+/// Records that a request is within the share of its account, at its arrival or after a wait.
+pub fn record_within_share(admission: &mut Admission, arrival: Arrival, now_ms: u64) {
+    let Some(account) = arrival.account else {
+        return;
+    };
+    let is_usual = counts_as_usual(admission, account, now_ms);
+    let state = account_state(admission, account, now_ms);
+    state.within.add(1.0, RECENT_DECAY_MS, now_ms);
     if is_usual {
         state.usual.add(1.0, USUAL_DECAY_MS, now_ms);
         admission.account_usual.add(1.0, USUAL_DECAY_MS, now_ms);
     }
-    admission.first_arrival_ms.get_or_insert(now_ms);
 }
 
 /// Records that a request was granted a slot or evicted from the queue.
