--- a/crates/daemon/src/commands/admission_report.rs
+++ b/crates/daemon/src/commands/admission_report.rs
@@ -6,7 +6,7 @@
     owner::{commands::take_admission_report, PoolState},
     permit::queries::{queue_length, valid_credit_milli},
     serde_json::json,
-    shed::{RefusalCounts, Transition},
+    shed::{queries::paced_per_s, RefusalCounts, Transition},
 };
 
 /// Counts the requests that were refused since the last call, and logs when the pool begins and ends to refuse.
@@ -33,6 +33,7 @@
         "queue": queue_length(&state.pool),
         "drain_per_s": report.drain_per_s as u64,
         "rejected_permille": report.rejected_permille,
+        "held_per_s": paced_per_s(&state.admission).map(|per_s| per_s as u64),
         "retry_credit_milli": valid_credit_milli(&state.retry_budget, now_ms),
     });
     for (reason, count) in by_reason(&report.episode) {
