--- a/crates/shed/src/commands/record.rs
+++ b/crates/shed/src/commands/record.rs
@@ -6,7 +6,7 @@
             AccountState, KindState, ServedCounts, RECENT_DECAY_MS, SERVED_DECAY_MS, USUAL_DECAY_MS,
         },
         pace::Phase,
-        queries::tokens,
+        queries::{counts_as_usual, tokens},
         Admission, Arrival, Kind, QueueClass, RefusalKind, ACCOUNTS_MAX, KINDS_MAX,
     },
     types::AccountKey,
@@ -21,15 +21,26 @@
     let Some(account) = arrival.account else {
         return;
     };
-    let is_within = class != QueueClass::AboveShare;
     let state = account_state(admission, account, now_ms);
     state.arrivals.add(1.0, RECENT_DECAY_MS, now_ms);
-    if is_within {
-        state.within.add(1.0, RECENT_DECAY_MS, now_ms);
+    admission.first_arrival_ms.get_or_insert(now_ms);
+    if class != QueueClass::AboveShare {
+        record_within_share(admission, arrival, now_ms);
+    }
+}
+
+/// Records that a request is within the share of its account, at its arrival or after a wait.
+pub fn record_within_share(admission: &mut Admission, arrival: Arrival, now_ms: u64) {
+    let Some(account) = arrival.account else {
+        return;
+    };
+    let is_usual = counts_as_usual(admission, account, now_ms);
+    let state = account_state(admission, account, now_ms);
+    state.within.add(1.0, RECENT_DECAY_MS, now_ms);
+    if is_usual {
         state.usual.add(1.0, USUAL_DECAY_MS, now_ms);
         admission.account_usual.add(1.0, USUAL_DECAY_MS, now_ms);
     }
-    admission.first_arrival_ms.get_or_insert(now_ms);
 }
 
 /// Records that a request was granted a slot or evicted from the queue.
@@ -114,12 +125,6 @@
     state.retries.add(1.0, RECENT_DECAY_MS, now_ms);
 }
 
-/// Records credit for retries that was passed on, in thousandths of a retry.
-pub fn record_credit(admission: &mut Admission, credit_milli: u64, now_ms: u64) {
-    let retries = credit_milli as f64 / 1_000.0;
-    admission.credit.add(retries, RECENT_DECAY_MS, now_ms);
-}
-
 /// Applies `change` to the counts of all requests, of the kind and of the account.
 fn for_counts<Change>(admission: &mut Admission, arrival: Arrival, now_ms: u64, change: Change)
 where
