Queue retries behind the first tries of their priority

A retry has an earlier deadline than the first tries that wait, and went before them. In a full pool the slots that become free first are those of servers that fail at once, so that a retry met another failing server.

--- a/crates/owner/src/commands/acquire.rs
+++ b/crates/owner/src/commands/acquire.rs
@@ -115,7 +115,7 @@
         Some(ticket) => copy_class(state, &mut slot_request, ticket),
         None => classify(state, &mut slot_request, request, now_ms),
     }
-    let place = place_in_queue(state, ticket, &slot_request, now_ms);
+    let place = place_in_queue(state, ticket, &slot_request, is_retry, now_ms);
     // While servers reject, what waits is held back and not for want of slots, so a retry doesn't wait behind it.
     let skips_queue = is_retry && is_rejecting(&state.admission, now_ms);
     let may_send = is_retry || may_send(&state.admission, now_ms);
--- a/crates/owner/src/commands/admission.rs
+++ b/crates/owner/src/commands/admission.rs
@@ -66,16 +66,24 @@
     queue_class(&state.admission, arrival, now_ms)
 }
 
-/// Returns the place of the waiter with `ticket`, or the one that a new request would get.
+/// Returns the place of the waiter with `ticket`, or the one that a new request would get. A retry waits behind all of its class
+/// and priority.
 pub(crate) fn place_in_queue(
     state: &PoolState,
     ticket: Option<u64>,
     request: &SlotRequest,
+    is_retry: bool,
     now_ms: u64,
 ) -> Place {
     let mut waiters = queries::waiters(&state.pool);
     let ahead = match ticket {
         Some(ticket) => waiters.position(|waiter| waiter.ticket == ticket),
+        // The first slots to become free are those of servers that fail at once. A retry, whose deadline is near, would go
+        // to one of these again.
+        None if is_retry => {
+            let rank = rank_of(state, request, now_ms);
+            Some(end_of_group(state, &rank, now_ms))
+        }
         None => Some(new_place(state, request, now_ms)),
     };
     let ahead = ahead.unwrap_or_else(|| queries::queue_length(&state.pool));
