--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -23,7 +23,6 @@
         queries::{find_instance, pool_areas},
         ClosedReason, Instance, ServerLimit, View,
     },
-    owner::{queries::pool_to_queue_at, PoolAnswer},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -41,8 +40,8 @@
 const OWNER_TIMEOUT_MS: u64 = 150;
 /// Owners tried in order before the server is chosen locally.
 const OWNERS_MAX: usize = 2;
-/// Pools tried without queueing before the request queues at one of them: those of four data centres, as users have them.
-const POOLS_MAX: usize = 4;
+/// Pools tried without queueing before the request queues at the nearest.
+const POOLS_MAX: usize = 3;
 /// Timeout for the release of a permit, in milliseconds.
 const RELEASE_TIMEOUT_MS: u64 = 500;
 /// Attempts to release a permit until the release is confirmed; the first fails if the connection no longer
@@ -120,8 +119,8 @@
     }
 }
 
-/// Requests a slot from the nearest pools without queueing, then queues at the nearest one or at one with a shorter wait. If the
-/// service has only one pool, the request may queue there at once.
+/// Requests a slot from the nearest pools without queueing, then queues at the nearest one. If the service has only one
+/// pool, the request may queue there at once.
 async fn acquire_from_pools(
     node: &Arc<Node>,
     request: &AcquireRequest,
@@ -139,30 +138,17 @@
         exclude: request.exclude.iter().cloned().chain(unreachable).collect(),
         ..request.clone()
     };
-    let mut answers = Vec::new();
     if pools.len() > 1 {
         for pool in pools.iter().take(POOLS_MAX) {
             let result =
                 request_from_pool(node, &view, pool, &request, credit, charge, false).await;
-            match result {
-                Err(refusal) if refusal.code != ResultCode::QuotaExceeded => {
-                    answers.push(pool_answer(&refusal));
-                }
-                result => return result,
+            let is_above_quota = |refusal: &Refusal| refusal.code == ResultCode::QuotaExceeded;
+            if result.is_ok() || result.as_ref().is_err_and(is_above_quota) {
+                return result;
             }
         }
     }
-    let chosen = pool_to_queue_at(&answers).and_then(|at| pools.get(at));
-    let pool = chosen.unwrap_or(nearest);
-    request_from_pool(node, &view, pool, &request, credit, charge, true).await
-}
-
-/// Returns what the refusal of a request that was not to queue says about the pool.
-fn pool_answer(refusal: &Refusal) -> PoolAnswer {
-    match refusal.code {
-        ResultCode::Overloaded => PoolAnswer::Busy(refusal.retry_after_ms.unwrap_or_default()),
-        _ => PoolAnswer::Unusable,
-    }
+    request_from_pool(node, &view, nearest, &request, credit, charge, true).await
 }
 
 /// Requests a slot from the pool's owner, then from the next in order, then chooses a server locally.
--- a/crates/owner/src/commands/acquire.rs
+++ b/crates/owner/src/commands/acquire.rs
@@ -77,8 +77,8 @@
 pub enum AcquireOutcome {
     /// A permit for a slot of the server is granted.
     Granted(PermitId, ServerIndex),
-    /// No permit is granted, for this reason. The second value is the time after which the caller may try again, or for which
-    /// it would wait if it queued, in milliseconds; 0 if not known.
+    /// No permit is granted, for this reason. The second value is the time after which the caller may try again, in
+    /// milliseconds; 0 if not known.
     Refused(RefusalReason, u64),
     /// The request is queued under this ticket; wait for the notification, then call [`acquire`] again.
     Wait(u64, Arc<Notify>),
@@ -155,8 +155,7 @@
         }
     }
     if !request.may_queue {
-        let wait_ms = queries::good_server_wait_ms(&state.pool, now_ms, slot_request.deadline_ms);
-        return AcquireOutcome::Refused(RefusalReason::Busy, wait_ms);
+        return AcquireOutcome::Refused(RefusalReason::Busy, 0);
     }
     let backlog = backlog(state, &slot_request, place.ahead);
     if !fits_deadline(state, &slot_request, &backlog, now_ms) {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -15,6 +15,6 @@
         StandingChange, QUEUE_WAIT_MS,
     },
     pools::{PoolId, Pools},
-    queries::{PoolAnswer, PoolSnapshot, ServerSnapshot},
+    queries::{PoolSnapshot, ServerSnapshot},
     state::{PoolState, ServerMeta},
 };
--- a/crates/owner/tests/owner.rs
+++ b/crates/owner/tests/owner.rs
@@ -9,9 +9,8 @@
             acquire, apply_server_list, apply_service_config, merge_snapshot, release,
             run_maintenance, take_standing_changes,
         },
-        queries::{pool_snapshot, pool_to_queue_at},
-        AcquireOutcome, AcquireRequest, PoolAnswer, PoolState, RefusalReason, Release,
-        QUEUE_WAIT_MS,
+        queries::pool_snapshot,
+        AcquireOutcome, AcquireRequest, PoolState, RefusalReason, Release, QUEUE_WAIT_MS,
     },
     permit::{Standing, SPEND_MILLI},
     std::net::SocketAddr,
@@ -125,60 +124,6 @@
     ));
 }
 
-/// A request queued at the nearest pool even if that had no servers for it or only failing ones, or a long queue, while
-/// another data centre would soon have had a free slot.
-#[test]
-fn pool_to_queue_at_shortest_wait() {
-    use PoolAnswer::{Busy, Unusable};
-    let cases = [
-        (vec![Busy(100), Busy(90), Busy(0)], Some(2)),
-        (vec![Busy(40), Busy(0)], Some(0)),
-        (vec![Unusable, Busy(400), Busy(900)], Some(1)),
-        (vec![Unusable, Unusable], None),
-        (vec![], None),
-    ];
-    for (answers, expected) in cases {
-        assert_eq!(pool_to_queue_at(&answers), expected, "{answers:?}");
-    }
-}
-
-/// A pool whose servers all fail must not look as if it would soon run the request.
-#[test]
-fn acquire_busy_expected_wait() {
-    let busy_wait_ms = |outcome: AttemptOutcome| {
-        let mut state = pool(2);
-        for now_ms in 0..40 {
-            use_once(
-                &mut state,
-                AttemptOutcome::Completed {
-                    first_byte_us: 100_000,
-                },
-                now_ms,
-            );
-        }
-        for now_ms in 40..44 {
-            use_once(&mut state, outcome, now_ms);
-        }
-        let request_at = |acquire_id, may_queue| AcquireRequest {
-            deadline_ms: 5_050,
-            may_queue,
-            ..request(acquire_id)
-        };
-        for acquire_id in 0..4 {
-            granted(&acquire(&mut state, &request_at(acquire_id, true), 50));
-        }
-        match acquire(&mut state, &request_at(5, false), 50) {
-            AcquireOutcome::Refused(RefusalReason::Busy, wait_ms) => wait_ms,
-            other => panic!("{other:?}"),
-        }
-    };
-    let good = AttemptOutcome::Completed {
-        first_byte_us: 100_000,
-    };
-    assert!(busy_wait_ms(good) < 100, "{}", busy_wait_ms(good));
-    assert_eq!(busy_wait_ms(AttemptOutcome::Failed), 5_000);
-}
-
 #[test]
 fn acquire_waiter_before_new_request() {
     let mut state = pool(1);
--- a/crates/permit/src/queries.rs
+++ b/crates/permit/src/queries.rs
@@ -276,15 +276,6 @@
     slots.max(SUSTAINED_SLOTS_MIN)
 }
 
-/// Returns the expected wait of a new request for a good server, in milliseconds; without a good server the time until
-/// `deadline_ms`.
-pub fn good_server_wait_ms(pool: &Pool, now_ms: u64, deadline_ms: u64) -> u64 {
-    if !has_good_server(pool) {
-        return deadline_ms.saturating_sub(now_ms);
-    }
-    (expected_wait_us(pool, queue_length(pool)) / 1_000.0) as u64
-}
-
 /// Returns the number of queued requests.
 pub fn queue_length(pool: &Pool) -> usize {
     pool.queue.len()
