Teach the stand-in stores to return from an older copy

Neither stand-in could lose records. Both now copy their records, return to a copy in the next era, state the era in each response, and answer 410 for an offset behind the end. A request during which the store returns gets no response, so no response states the era of other records.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,10 +17,10 @@
     backend::{Arrival, Backend, BackendKnobs, Executions, GrayFault},
     fault::{FaultKnobs, FaultProxy},
     log_store::StoredRecord,
-    platform::{Platform, PlatformKnobs},
+    platform::{LogCopy, Platform, PlatformKnobs},
     ports::PortRange,
     server::{full_response, unix_time_ms, BoxedBody, HttpResponse},
-    store::{OutageMode, Store, StoreKnobs},
+    store::{OutageMode, Store, StoreCopy, StoreKnobs},
     store_fixtures::{
         caller_headers, is_matching_response, InstanceSettings, ServerEntry, ROUTE_HOST,
     },
--- a/crates/standin/src/log_store.rs
+++ b/crates/standin/src/log_store.rs
@@ -1,6 +1,7 @@
 //! In-memory log streams of the simulated platform.
 //!
-//! Invariant: each append gets the next offset of its stream, and offsets are never reused, also after a trim.
+//! Invariant: each append gets the next offset of its stream, and offsets are never reused, also after a trim, unless the
+//! platform returns to an earlier copy.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -13,7 +14,7 @@
     pub body: String,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Stream {
     pub(crate) first_offset: u64,
     pub(crate) records: VecDeque<StoredRecord>,
@@ -36,7 +37,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct LogStore {
     pub(crate) streams: HashMap<String, Stream>,
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,7 +2,8 @@
 //!
 //! Protocol: `POST /streams/NAME` appends, `GET /streams/NAME?from=N&wait_ms=M` reads (410 below the first retained
 //! offset), `GET /members?known=N` returns the member list (304 if N is still its version), `PUT /members` publishes a
-//! list, and `PUT /knobs` replaces the knobs.
+//! list, and `PUT /knobs` replaces the knobs. Each response states the log's era in the header `Catkinhitch-Store-Era`, which
+//! increases each time the log returns to an earlier copy.
 
 use {
     crate::{
@@ -11,7 +12,7 @@
     },
     config::{queries::document_digest, AcceptedConfig, ConfigEvent},
     http_body_util::BodyExt,
-    hyper::{body::Incoming, Method, Request},
+    hyper::{body::Incoming, header::HeaderValue, Method, Request},
     member::{BackendServer, Instance},
     serde::{Deserialize, Serialize},
     std::{collections::VecDeque, io, net::SocketAddr, sync::Arc, time::Duration},
@@ -25,6 +26,10 @@
 
 /// Maximum number of records in one read response.
 const MAX_RECORDS_PER_READ: usize = 1_000;
+/// Header in which the platform states the log's era.
+const ERA_HEADER: &str = "catkinhitch-store-era";
+/// Era before the first return to a copy.
+const FIRST_ERA: u64 = 1;
 
 /// Behaviour of the simulated platform, adjustable at run time.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -61,6 +66,12 @@
     }
 }
 
+/// A copy of the log, to which the platform can return.
+#[derive(Clone, Debug)]
+pub struct LogCopy {
+    log: LogStore,
+}
+
 #[derive(Debug, Default)]
 struct State {
     knobs: PlatformKnobs,
@@ -72,6 +83,8 @@
     recent_append_times: VecDeque<u64>,
     refused_count: u64,
     appended_count: u64,
+    /// Number of returns to a copy.
+    rollbacks: u64,
 }
 
 /// A running simulated platform; dropping it stops the listener.
@@ -132,6 +145,21 @@
         );
     }
 
+    /// Copies the log.
+    pub fn copy(&self) -> LogCopy {
+        let log = self.shared.lock().log.clone();
+        LogCopy { log }
+    }
+
+    /// Returns to a copy of the log, in the next era. Requests that are underway get no response.
+    pub fn roll_back(&self, copy: LogCopy) {
+        let mut state = self.shared.lock();
+        state.log = copy.log;
+        state.rollbacks += 1;
+        drop(state);
+        self.shared.notify_changed();
+    }
+
     /// Drops all records of `stream`.
     pub fn trim_stream(&self, stream: &str) {
         if let Some(stream) = self.shared.lock().log.streams.get_mut(stream) {
@@ -183,9 +211,24 @@
     state.member_lists.push_back((unix_time_ms(), members));
 }
 
+/// Handles a request, and states the log's era. A request during which the log returns to a copy gets no response.
 async fn handle_request(
     shared: Arc<SharedState<State>>,
     request: Request<Incoming>,
+) -> Option<HttpResponse> {
+    let rollbacks = shared.lock().rollbacks;
+    let mut response = answer_request(Arc::clone(&shared), request).await?;
+    if shared.lock().rollbacks != rollbacks {
+        return None;
+    }
+    let era = HeaderValue::from(FIRST_ERA + rollbacks);
+    response.headers_mut().insert(ERA_HEADER, era);
+    Some(response)
+}
+
+async fn answer_request(
+    shared: Arc<SharedState<State>>,
+    request: Request<Incoming>,
 ) -> Option<HttpResponse> {
     let path = request.uri().path().to_owned();
     if request.method() == Method::PUT {
@@ -317,7 +360,7 @@
     }
 }
 
-/// Reads the records from offset `from`, with status 410 if it was trimmed.
+/// Reads the records from offset `from`, with status 410 if it was trimmed or lies behind the end.
 fn read_records(shared: &SharedState<State>, stream: &str, from: u64) -> (u16, ReadResponse) {
     let mut state = shared.lock();
     let now_ms = unix_time_ms();
@@ -339,7 +382,7 @@
             body: record.body.clone(),
         })
         .collect();
-    let is_trimmed = from < stream.first_offset;
+    let is_trimmed = from < stream.first_offset || from > stream.next_offset();
     let response = ReadResponse {
         first_offset: stream.first_offset,
         first_at_ms: stream
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -3,14 +3,15 @@
 //! Protocol: `POST /log-append?topic=T&part=0` with framed records, `GET /log-read?topic=T&part=0&from=N&wait_ms=M`,
 //! `GET /log-newest?topic=T&part=0&after=KEY`. Groups are not implemented, since nothing here joins one. Invariant: the
 //! records of an append are in the topic before its response is sent. Without a response they are appended after
-//! `lost_append_delay_ms`.
+//! `lost_append_delay_ms`. Each response states the store's era in the header `Store-Era`. A drill returns the store to an
+//! earlier copy of its records, with the next era.
 
 use {
     crate::server::{full_response, serve, AbortOnDrop, HttpResponse, SharedState},
     base64::{prelude::BASE64_STANDARD, Engine},
     bytes::{BufMut, Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::{body::Incoming, Method, Request},
+    hyper::{body::Incoming, header::HeaderValue, Method, Request},
     serde_json::json,
     std::{
         collections::{BTreeMap, HashMap},
@@ -24,6 +25,10 @@
 
 /// Maximum number of keys on one page of newest records.
 const MAX_KEYS_PER_PAGE: usize = 500;
+/// Header in which the store states its era.
+const ERA_HEADER: &str = "store-era";
+/// Era before the first drill.
+const FIRST_ERA: u64 = 1;
 
 /// How requests to the store fail.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -52,7 +57,13 @@
     pub lost_append_delay_ms: u64,
 }
 
-#[derive(Debug, Default)]
+/// A copy of the store's records, to which it can return.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    topics: HashMap<String, Topic>,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Topic {
     first_offset: u64,
     records: Vec<Bytes>,
@@ -82,6 +93,10 @@
     knobs: StoreKnobs,
     topics: HashMap<String, Topic>,
     request_count: u64,
+    /// Number of returns to a copy.
+    rollbacks: u64,
+    /// Whether responses lack the era.
+    hides_era: bool,
 }
 
 /// A running in-memory store; dropping it stops the listener.
@@ -145,6 +160,26 @@
         }
     }
 
+    /// Copies all records.
+    pub fn copy(&self) -> StoreCopy {
+        let topics = self.shared.lock().topics.clone();
+        StoreCopy { topics }
+    }
+
+    /// Returns to the records of a copy, in the next era. Requests that are underway get no response.
+    pub fn roll_back(&self, copy: StoreCopy) {
+        let mut state = self.shared.lock();
+        state.topics = copy.topics;
+        state.rollbacks += 1;
+        drop(state);
+        self.shared.notify_changed();
+    }
+
+    /// Sets whether responses lack the era.
+    pub fn hide_era(&self, hides_era: bool) {
+        self.shared.lock().hides_era = hides_era;
+    }
+
     /// Returns the newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
         let state = self.shared.lock();
@@ -158,9 +193,27 @@
     }
 }
 
+/// Handles a request, and states the store's era. A request during which the store returns to a copy gets no response.
 async fn handle_request(
     shared: Arc<SharedState<State>>,
     request: Request<Incoming>,
+) -> Option<HttpResponse> {
+    let rollbacks = shared.lock().rollbacks;
+    let mut response = answer_request(Arc::clone(&shared), request).await?;
+    let state = shared.lock();
+    if state.rollbacks != rollbacks {
+        return None;
+    }
+    if !state.hides_era {
+        let era = HeaderValue::from(FIRST_ERA + rollbacks);
+        response.headers_mut().insert(ERA_HEADER, era);
+    }
+    Some(response)
+}
+
+async fn answer_request(
+    shared: Arc<SharedState<State>>,
+    request: Request<Incoming>,
 ) -> Option<HttpResponse> {
     let knobs = {
         let mut state = shared.lock();
@@ -272,7 +325,7 @@
 ) -> Option<HttpResponse> {
     let mut state = shared.lock();
     let topic = state.topics.entry(topic.to_owned()).or_default();
-    if from < topic.first_offset {
+    if from < topic.first_offset || from > topic.end_offset() {
         return Some(full_response(
             410,
             json!({ "first": topic.first_offset }).to_string(),
