--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,4 +1,4 @@
-//! Core types that the other crates share: typed indices and maps over them, shards, result codes and backoff.
+//! Core types that the other crates share: typed indices and maps over them, shards, result codes, backoff and the era of a store.
 //!
 //! Nothing here performs I/O, reads a clock or depends on an encoding.
 
@@ -7,6 +7,7 @@
 mod map;
 mod result_code;
 mod shards;
+mod store_era;
 
 pub use crate::{
     backoff::exponential_backoff_ms,
@@ -14,4 +15,5 @@
     map::{EntityMap, Interner},
     result_code::{ExecutionStatus, ResultCode},
     shards::{shard_hash, Shards},
+    store_era::{EraNews, StoreEra},
 };
--- a/crates/types/tests/types.rs
+++ b/crates/types/tests/types.rs
@@ -1,6 +1,6 @@
 //! Tests of the core types.
 
-use types::{EntityMap, Interner, ResultCode, ServerIndex, Shards};
+use types::{EntityMap, EraNews, Interner, ResultCode, ServerIndex, Shards, StoreEra};
 
 #[test]
 fn intern_same_name_twice() {
@@ -42,3 +42,55 @@
         );
     }
 }
+
+/// A process that starts after a loss has no offsets of an earlier era.
+#[test]
+fn observe_first_era() {
+    let mut era = StoreEra::default();
+    assert_eq!(era.observe(Some(7), 0, 1), EraNews::Unchanged);
+    assert_eq!((era.known(), era.changes()), (Some(7), 0));
+}
+
+/// A response without the header was taken for one of era 0.
+#[test]
+fn observe_era_not_stated() {
+    let mut era = StoreEra::default();
+    for stated in [None, Some(7), None, Some(7), None] {
+        assert_eq!(era.observe(stated, 0, 1), EraNews::Unchanged);
+    }
+    assert_eq!((era.known(), era.changes()), (Some(7), 0));
+}
+
+#[test]
+fn observe_era_higher() {
+    let mut era = StoreEra::default();
+    for (stated, news) in [
+        (1, EraNews::Unchanged),
+        (2, EraNews::Changed),
+        (2, EraNews::Unchanged),
+        // Losses while nothing was read count as one.
+        (5, EraNews::Changed),
+    ] {
+        assert_eq!(era.observe(Some(stated), 10, 20), news, "{stated}");
+    }
+    assert_eq!((era.known(), era.changes()), (Some(5), 2));
+}
+
+/// A long read that began before a loss was answered on another connection after it.
+#[test]
+fn observe_era_lower_sent_before() {
+    let mut era = StoreEra::default();
+    era.observe(Some(1), 0, 5);
+    era.observe(Some(2), 90, 100);
+    assert_eq!(era.observe(Some(1), 80, 120), EraNews::Outdated);
+    assert_eq!((era.known(), era.changes()), (Some(2), 1));
+}
+
+/// One response that stated too high an era made the process refuse all later ones.
+#[test]
+fn observe_era_lower_sent_after() {
+    let mut era = StoreEra::default();
+    era.observe(Some(9), 90, 100);
+    assert_eq!(era.observe(Some(2), 110, 120), EraNews::Unchanged);
+    assert_eq!((era.known(), era.changes()), (Some(9), 0));
+}
