Hand the store's era to the readers

The platform client dropped the response headers. It now returns the era of each response, by the header that the adapter names (Store-Era of the users' platform) or the product's own. List updates, stream reads, confirmed announcements and refused offsets carry it. Nothing reacts to it yet.

--- a/crates/daemon/src/commands/claims.rs
+++ b/crates/daemon/src/commands/claims.rs
@@ -197,16 +197,17 @@
             .claim_replicas
             .with(index as u64, |replica| queries::next_offset(replica));
         match read(&node.platform, &stream, from, 0).await {
-            Ok(response) => {
-                apply_records(node, index, &response);
-                let read_to = from + response.records.len() as u64;
-                if read_to >= response.next_offset {
+            Ok(part) => {
+                apply_records(node, index, &part.response);
+                let read_to = from + part.response.records.len() as u64;
+                if read_to >= part.response.next_offset {
                     return read_to >= at_least;
                 }
             }
             Err(ReadError::Trimmed {
                 first_offset,
                 first_at_ms,
+                ..
             }) => node.claim_replicas.with(index as u64, |replica| {
                 skip_to(replica, first_offset, first_at_ms);
             }),
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -56,6 +56,7 @@
     ListUpdate {
         is_full: true,
         next_offset: 0,
+        era: None,
         changes: changes.collect(),
         record_errors: Vec::new(),
         received_bytes: 0,
@@ -106,7 +107,7 @@
             Box::pin(async move { result })
         }),
         write_directory: Box::new(|_, _| Box::pin(async { Ok(()) })),
-        announce: Box::new(|_| Box::pin(async { Ok(()) })),
+        announce: Box::new(|_| Box::pin(async { Ok(None) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
     }
 }
--- a/crates/feed/tests/support/store.rs
+++ b/crates/feed/tests/support/store.rs
@@ -228,6 +228,7 @@
         ListUpdate {
             is_full: from.is_none(),
             next_offset: version,
+            era: None,
             changes: is_new.then_some(change).into_iter().collect(),
             record_errors: Vec::new(),
             received_bytes: 0,
@@ -255,6 +256,7 @@
         ListUpdate {
             is_full: from.is_none(),
             next_offset: end as u64,
+            era: None,
             changes,
             record_errors: Vec::new(),
             received_bytes: 0,
@@ -421,7 +423,7 @@
             Box::pin(async move {
                 append(&world, index, INSTANCES).await?;
                 world.announce(index, incarnation);
-                Ok(())
+                Ok(None)
             })
         }),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
@@ -440,6 +442,7 @@
     ListUpdate {
         is_full: true,
         next_offset: 0,
+        era: None,
         changes: changes.collect(),
         record_errors: Vec::new(),
         received_bytes: 0,
--- a/crates/stream/src/client.rs
+++ b/crates/stream/src/client.rs
@@ -7,11 +7,16 @@
 use {
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Full},
-    hyper::{body::Incoming, header::CONTENT_TYPE, Method, Request, Response, StatusCode},
+    hyper::{
+        body::Incoming,
+        header::{HeaderMap, CONTENT_TYPE},
+        Method, Request, Response, StatusCode,
+    },
     hyper_util::{
         client::legacy::{connect::HttpConnector, Client},
         rt::{TokioExecutor, TokioTimer},
     },
+    log::warn,
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
@@ -26,6 +31,8 @@
 const PROGRESS_TIMEOUT_MS: u64 = 600;
 /// Time allowed for a whole response, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 10_000;
+/// Header in which the product's own log platform states its era.
+const ERA_HEADER: &str = "catkinhitch-store-era";
 
 /// Why a call returned no response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -49,11 +56,24 @@
     Bytes(Bytes),
 }
 
+/// A response of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Complete body.
+    pub body: Bytes,
+    /// Era of the platform's data; none if the response doesn't state it.
+    pub era: Option<u64>,
+}
+
 /// A client of the platform's service; clones share the connection pool.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
     pub(crate) client: Client<HttpConnector, Full<Bytes>>,
     pub(crate) address: SocketAddr,
+    /// Header in which the platform states its era.
+    pub(crate) era_header: &'static str,
 }
 
 impl PlatformClient {
@@ -69,7 +89,16 @@
             .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, address }
+        Self {
+            client,
+            address,
+            era_header: ERA_HEADER,
+        }
+    }
+
+    /// Sets the header, in lower case, in which the platform states its era.
+    pub fn with_era_header(self, era_header: &'static str) -> Self {
+        Self { era_header, ..self }
     }
 
     /// Calls `path` of the service and waits for at most `timeout_ms` for the begin of the response, then for the rest of it
@@ -84,7 +113,7 @@
         path: &str,
         body: RequestBody,
         timeout_ms: u64,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<PlatformResponse, CallError> {
         let (content_type, bytes) = match body {
             RequestBody::Empty => (None, Bytes::new()),
             RequestBody::Json(text) => (Some("application/json"), Bytes::from(text)),
@@ -106,14 +135,28 @@
             Ok(Err(_)) | Err(_) => return Err(CallError::ResponseLost),
         };
         let status = response.status();
+        let era = stated_era(response.headers(), self.era_header);
         let time_limit = Duration::from_millis(RESPONSE_TIMEOUT_MS);
         match timeout(time_limit, receive_body(response)).await {
-            Ok(Some(body)) => Ok((status, body)),
+            Ok(Some(body)) => Ok(PlatformResponse { status, body, era }),
             Ok(None) | Err(_) => Err(CallError::ResponseLost),
         }
     }
 }
 
+/// Returns the era that a response states; none if it states none or an invalid one.
+fn stated_era(headers: &HeaderMap, name: &str) -> Option<u64> {
+    let value = headers.get(name)?;
+    let era = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    if era.is_none() {
+        warn!("ignored an invalid value of the response header {name}");
+    }
+    era
+}
+
 /// Receives the body of a response; returns none if it breaks off or makes no progress.
 async fn receive_body(response: Response<Incoming>) -> Option<Bytes> {
     let mut body = response.into_body();
--- a/crates/stream/src/commands/append.rs
+++ b/crates/stream/src/commands/append.rs
@@ -23,14 +23,14 @@
     let path = format!("streams/{stream}");
     let content = RequestBody::Bytes(Bytes::copy_from_slice(body.as_bytes()));
     let call = platform.call(Method::POST, &path, content, APPEND_TIMEOUT_MS);
-    let (status, body) = call.await.map_err(|error| match error {
+    let answer = call.await.map_err(|error| match error {
         CallError::NotSent => AppendError::Refused,
         CallError::ResponseLost => AppendError::ResponseLost,
     })?;
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
         return Err(AppendError::Refused);
     }
     let response: AppendResponse =
-        from_json("append response", &body).map_err(|_| AppendError::ResponseLost)?;
+        from_json("append response", &answer.body).map_err(|_| AppendError::ResponseLost)?;
     Ok(response.offset)
 }
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -10,7 +10,10 @@
 mod source;
 
 pub use crate::{
-    client::{CallError, PlatformClient, RequestBody, CONNECT_TIMEOUT_MS, IDLE_TIMEOUT_MS},
+    client::{
+        CallError, PlatformClient, PlatformResponse, RequestBody, CONNECT_TIMEOUT_MS,
+        IDLE_TIMEOUT_MS,
+    },
     commands::Batcher,
     error::{AppendError, ReadError},
     source::{
--- a/crates/stream/src/queries.rs
+++ b/crates/stream/src/queries.rs
@@ -5,5 +5,5 @@
 
 pub use self::{
     follow::{follow, StreamHandler},
-    read::{read, read_members},
+    read::{read, read_members, StreamPart},
 };
--- a/crates/stream/src/queries/follow.rs
+++ b/crates/stream/src/queries/follow.rs
@@ -29,10 +29,11 @@
 pub async fn follow(platform: &PlatformClient, stream: &str, handler: &StreamHandler) {
     while (handler.should_continue)() {
         match read(platform, stream, (handler.next_offset)(), FOLLOW_WAIT_MS).await {
-            Ok(response) => (handler.handle_records)(&response),
+            Ok(part) => (handler.handle_records)(&part.response),
             Err(ReadError::Trimmed {
                 first_offset,
                 first_at_ms,
+                ..
             }) => (handler.on_trimmed)(first_offset, first_at_ms),
             Err(error) => {
                 log::debug!("failed to read stream {stream}: {error}");
--- a/crates/stream/src/queries/read.rs
+++ b/crates/stream/src/queries/read.rs
@@ -1,8 +1,7 @@
 //! Reads records of a stream, or the member list.
 
 use {
-    crate::{PlatformClient, ReadError, RequestBody},
-    bytes::Bytes,
+    crate::{PlatformClient, PlatformResponse, ReadError, RequestBody},
     hyper::{Method, StatusCode},
     wire::{
         from_json,
@@ -13,27 +12,38 @@
 /// Time allowed for a read in addition to its wait, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 1_000;
 
+/// Records of a stream.
+#[derive(Clone, Debug)]
+pub struct StreamPart {
+    /// The platform's response.
+    pub response: ReadResponse,
+    /// Era of the platform's data; none if the platform didn't state it.
+    pub era: Option<u64>,
+}
+
 /// Reads `stream` from offset `from`; waits up to `wait_ms` for a first record.
 ///
 /// # Errors
 ///
-/// [`ReadError::Trimmed`] if `from` lies before the first kept record.
+/// [`ReadError::Trimmed`] if `from` lies before the first kept record or behind the end.
 pub async fn read(
     platform: &PlatformClient,
     stream: &str,
     from: u64,
     wait_ms: u64,
-) -> Result<ReadResponse, ReadError> {
+) -> Result<StreamPart, ReadError> {
     let path = format!("streams/{stream}?from={from}&wait_ms={wait_ms}");
-    let (status, body) = get(platform, &path, wait_ms + READ_TIMEOUT_MS).await?;
+    let PlatformResponse { status, body, era } =
+        get(platform, &path, wait_ms + READ_TIMEOUT_MS).await?;
     let response: ReadResponse = from_json("read response", &body)?;
     if status == StatusCode::GONE {
         return Err(ReadError::Trimmed {
             first_offset: response.first_offset,
             first_at_ms: response.first_at_ms,
+            era,
         });
     }
-    Ok(response)
+    Ok(StreamPart { response, era })
 }
 
 /// Reads the platform's member list; returns none if its version is still `known_version`.
@@ -46,7 +56,7 @@
     known_version: u64,
 ) -> Result<Option<MemberList>, ReadError> {
     let path = format!("members?known={known_version}");
-    let (status, body) = get(platform, &path, READ_TIMEOUT_MS).await?;
+    let PlatformResponse { status, body, .. } = get(platform, &path, READ_TIMEOUT_MS).await?;
     if status == StatusCode::NOT_MODIFIED {
         return Ok(None);
     }
@@ -57,12 +67,12 @@
     platform: &PlatformClient,
     path: &str,
     timeout_ms: u64,
-) -> Result<(StatusCode, Bytes), ReadError> {
+) -> Result<PlatformResponse, ReadError> {
     let call = platform.call(Method::GET, path, RequestBody::Empty, timeout_ms);
-    let (status, body) = call.await.map_err(|_| ReadError::Unavailable)?;
+    let response = call.await.map_err(|_| ReadError::Unavailable)?;
     let expected = [StatusCode::OK, StatusCode::GONE, StatusCode::NOT_MODIFIED];
-    if !expected.contains(&status) {
+    if !expected.contains(&response.status) {
         return Err(ReadError::Unavailable);
     }
-    Ok((status, body))
+    Ok(response)
 }
--- a/crates/stream/src/source.rs
+++ b/crates/stream/src/source.rs
@@ -35,6 +35,8 @@
     pub is_full: bool,
     /// Offset at which the next read begins.
     pub next_offset: u64,
+    /// Era of the platform's data that was read; none if the platform didn't state it.
+    pub era: Option<u64>,
     /// Changes in log order.
     pub changes: Vec<Change<Value>>,
     /// One message for each record that could not be decoded. Such a record is not among the changes, so it counts as
@@ -48,9 +50,9 @@
 pub type ReadList<Value> =
     Box<dyn Fn(Cursor) -> BoxFuture<'static, Result<ListUpdate<Value>, ReadError>> + Send + Sync>;
 
-/// Writes an instance's record.
+/// Writes an instance's record. Returns the era of the platform's data that contains it, if the platform states it.
 pub type Announce =
-    Box<dyn Fn(&Instance) -> BoxFuture<'static, Result<(), AppendError>> + Send + Sync>;
+    Box<dyn Fn(&Instance) -> BoxFuture<'static, Result<Option<u64>, AppendError>> + Send + Sync>;
 
 /// An instance from which others get changes, as the platform's directory of sources lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/stream/tests/append.rs
+++ b/crates/stream/tests/append.rs
@@ -22,7 +22,8 @@
     let platform = PlatformClient::new(log.address);
     assert_eq!(append(&platform, "s", "a").await, Ok(0));
     assert_eq!(append(&platform, "s", "b").await, Ok(1));
-    let response = read(&platform, "s", 1, 0).await.expect("a response");
+    let part = read(&platform, "s", 1, 0).await.expect("a response");
+    let response = part.response;
     assert_eq!(response.records.len(), 1);
     assert_eq!(
         (
@@ -132,3 +133,22 @@
         .expect("a response")
         .is_none());
 }
+
+/// A reader took the records behind a lost one for those that followed it.
+#[tokio::test]
+async fn read_rolled_back() {
+    let log = start_stand_in().await;
+    let platform = PlatformClient::new(log.address);
+    log.append("s", "a");
+    let copy = log.copy();
+    log.append("s", "b");
+    let part = read(&platform, "s", 0, 0).await.expect("records");
+    assert_eq!((part.response.records.len(), part.era), (2, Some(1)));
+    log.roll_back(copy);
+    let error = read(&platform, "s", 2, 0)
+        .await
+        .expect_err("no such offset");
+    assert!(matches!(error, ReadError::Trimmed { era: Some(2), .. }));
+    let part = read(&platform, "s", 0, 0).await.expect("records");
+    assert_eq!((part.response.records.len(), part.era), (1, Some(2)));
+}
--- a/crates/stream/tests/client.rs
+++ b/crates/stream/tests/client.rs
@@ -35,7 +35,8 @@
 async fn call(address: SocketAddr) -> Result<(StatusCode, usize), CallError> {
     let client = PlatformClient::new(address);
     let call = client.call(Method::GET, "list", RequestBody::Empty, TIMEOUT_MS);
-    call.await.map(|(status, body)| (status, body.len()))
+    call.await
+        .map(|response| (response.status, response.body.len()))
 }
 
 /// A list that a slow link carries in more than the time limit was discarded and read again, over and over.
