Undo nothing when the store returns from an older copy

Cause: the store's older copy lists a removed server with its last report, and of a report and a removal of the same version the later listing won. A listed report that is older than the known one counted as a deleted record, so all running servers were dropped at once. Reads went on from offsets that had been assigned again. Announcements and the directory of sources stayed lost.

Change: each reader keeps its offset with the number of changes of the store's era that were known when its read was sent. Sync requests and responses carry the era. At a change all offsets are void and the lists are read in full. Known removals count as later than the report before them (field lost between instances), and the first report after a loss as the copy's, since the known one may not be the last that the store had. Other servers have the grace period to report again. A full list that ends before the known offset shows a loss without an era.

--- a/crates/feed/src/commands.rs
+++ b/crates/feed/src/commands.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod apply;
 mod directory;
+mod era;
 mod fetch;
 mod pull;
 mod read;
--- a/crates/feed/src/commands/apply.rs
+++ b/crates/feed/src/commands/apply.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        commands::{fetch::add_source, notify_waiters, publish_view, send_part::store_patch},
+        commands::{
+            era::observe_era, fetch::add_source, notify_waiters, publish_view,
+            send_part::store_patch,
+        },
         queries,
         state::{Announcement, FeedState, ListBase},
         Feed,
@@ -11,8 +14,8 @@
     member::{
         commands::{
             apply_delta, apply_instance_report, apply_refusals, apply_removals,
-            apply_server_report, confirm_refused, expire_servers, remove_instance, remove_server,
-            retain_instances, retain_servers, start_grace_period,
+            apply_server_report, cancel_expiries, confirm_refused, expire_servers, remove_instance,
+            remove_server, retain_instances, retain_servers, start_grace_period,
         },
         queries::{have_records_lapsed, logged_removals, refused_removals},
         BackendServer, Delta, Instance, Presence, ReportVersion,
@@ -166,7 +169,8 @@
     }
 }
 
-/// Applies an update of the instance list.
+/// Applies an update of the instance list. Instances that are missing from it are kept for a time after the store has lost
+/// records.
 pub(crate) fn instances(feed: &Feed, update: &ListUpdate<Instance>) {
     log_record_errors("instance", &update.record_errors);
     let own = feed.own.name.as_str();
@@ -181,7 +185,8 @@
                 None => remove_instance(roster, &change.name),
             };
         }
-        if update.is_full {
+        let are_kept = feed.now_ms() < state.keep_instances_until_ms;
+        if update.is_full && !are_kept {
             let listed: HashSet<&str> = update.changes.iter().map(|c| c.name.as_str()).collect();
             changed |= retain_instances(roster, |name| name == own || listed.contains(name));
         }
@@ -206,10 +211,13 @@
         return;
     };
     let is_news = feed.state.with(0, |state| {
+        // An offset of another era is void.
+        let is_same_era = response.store_era == state.store_era.known();
+        let offset = response.config_offset.filter(|_| is_same_era);
         if response.config_version <= version {
             if response.config_version == version {
                 state.config_as_of_ms = state.config_as_of_ms.max(Some(as_of_ms));
-                state.config_offset = state.config_offset.max(response.config_offset);
+                state.config_offset = state.config_offset.max(offset);
             }
             return false;
         }
@@ -222,7 +230,7 @@
         let announced = state.announced.insert(announced.unwrap_or(Announcement {
             version: response.config_version,
             as_of_ms,
-            offset: response.config_offset,
+            offset,
             sources: VecDeque::new(),
         }));
         let is_known = announced.version > response.config_version;
@@ -273,6 +281,7 @@
         let has_all_instances = delta.is_full || request.feed != response.feed;
         let is_first = has_all_instances && !state.has_instance_list;
         let changed = apply_delta(&mut state.roster, &delta, &feed.own.name, as_of_ms) || is_first;
+        cancel_expiries(&mut state.roster);
         refused = refused_removals(&state.roster);
         state.servers_as_of_ms = Some(as_of_ms);
         state.has_instance_list |= has_all_instances;
@@ -306,10 +315,11 @@
     state.base == stated || state.server_digest == request.server_digest
 }
 
-/// Applies what a sync request says of its sender, and the removals because of which it refused servers of this instance's
+/// Applies what a sync request says of its sender and of the store's era, and the removals because of which it refused servers of this instance's
 /// list.
 pub fn record_request(feed: &Feed, request: &SyncRequest) {
     record_requester(feed, &request.own);
+    observe_era(feed, request.store_era, feed.now_ms(), &request.own.name);
     if request.refused_servers.is_empty() {
         return;
     }
--- a/crates/feed/src/commands/directory.rs
+++ b/crates/feed/src/commands/directory.rs
@@ -11,9 +11,9 @@
 
 use {
     crate::{
-        commands::{apply, publish_view},
-        queries::{is_small_fleet, known_instances},
-        state::Directory,
+        commands::{apply, era::observe_era, publish_view},
+        queries::{era_changes, is_small_fleet, known_instances},
+        state::{Directory, FeedState},
         Feed,
     },
     log::{info, warn},
@@ -22,6 +22,7 @@
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     stream::{Cursor, ListedSource},
     tokio::time::sleep,
+    types::EraNews,
 };
 
 /// Delay after the start before the directory is read, in milliseconds, so that other starting instances can announce
@@ -100,39 +101,66 @@
 
 /// Reads the list of all instances.
 pub(crate) async fn read_instances(feed: &Feed) {
+    let sent_ms = feed.now_ms();
     match (feed.source.instances)(Cursor::default()).await {
-        Ok(update) => apply::instances(feed, &update),
+        Ok(update) => {
+            if observe_era(feed, update.era, sent_ms, "instances") != EraNews::Outdated {
+                apply::instances(feed, &update);
+            }
+        }
         Err(error) => warn!("failed to read the instance list: {error}"),
     }
 }
 
-/// Brings the directory up to date if it has not what it should have by the list of instances. Called by the first instance
-/// in rendezvous order.
+/// Brings the directory up to date if it has not what it should have by the list of instances. It is read again after the store
+/// has lost records. Called by the first instance in rendezvous order.
 pub(crate) async fn maintain_directory(feed: &Feed) {
     let now_ms = feed.now_ms();
+    let changes = era_changes(feed);
     let is_due = feed.state.with(0, |state| {
-        let wanted = queries::source_directory(&state.view);
-        let is_current = state.directory.as_deref().is_some_and(|directory| {
-            listed_instances(directory) == by_name(&wanted)
-                && is_near(directory.fleet_instances, known_instances(state))
-        });
+        let is_current = state.directory_changes == changes
+            && state
+                .directory
+                .as_deref()
+                .is_some_and(|directory| is_directory_current(state, directory));
         let is_due = state.has_instance_list && now_ms >= state.directory_check_ms && !is_current;
         if is_due {
             state.directory_check_ms = now_ms + WRITE_INTERVAL_MS;
         }
         is_due
     });
-    if is_due && read_directory(feed).await.is_some() {
+    if !is_due {
+        return;
+    }
+    let Some(listed) = read_directory(feed).await else {
+        return;
+    };
+    let is_current = feed.state.with(0, |state| {
+        state.directory_changes = changes;
+        is_directory_current(state, &listed)
+    });
+    if !is_current {
         write_directory(feed).await;
     }
 }
 
+/// Returns whether the directory has what it should have by the list of instances.
+fn is_directory_current(state: &FeedState, directory: &Directory) -> bool {
+    let wanted = queries::source_directory(&state.view);
+    listed_instances(directory) == by_name(&wanted)
+        && is_near(directory.fleet_instances, known_instances(state))
+}
+
 /// Reads the directory and keeps it unless it is empty; returns none if it can't be read.
 async fn read_directory(feed: &Feed) -> Option<Arc<Directory>> {
+    let sent_ms = feed.now_ms();
     let update = (feed.source.directory)(Cursor::default()).await;
     let update = update
         .inspect_err(|error| warn!("failed to read the directory: {error}"))
         .ok()?;
+    if observe_era(feed, update.era, sent_ms, "directory") == EraNews::Outdated {
+        return None;
+    }
     for error in &update.record_errors {
         warn!("ignored an invalid record of the directory: {error}");
     }
--- a/crates/feed/src/commands/pull.rs
+++ b/crates/feed/src/commands/pull.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        commands::{apply, directory},
+        commands::{apply, directory, era::observe_era},
         queries::{self, REFRESH_AGE_MS, STALE_AFTER_MS, STARTUP_SYNC_MS},
         Feed,
     },
@@ -210,6 +210,8 @@
     };
     feed.state
         .with(0, |state| state.sync_backoffs.remove(&peer.name));
+    // A lower era only says that the peer has not noticed a loss yet; its list is ordered by its age.
+    observe_era(feed, response.store_era, sent_ms, &peer.name);
     let list_ms = queries::response_as_of_ms(&response, sent_ms);
     let config_ms = queries::config_as_of_ms(&response, sent_ms);
     apply::peer_config(feed, peer, &request, &response, sent_ms);
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -6,8 +6,12 @@
 
 use {
     crate::{
-        commands::{apply, notify_waiters},
-        queries::{self, as_of_ms, CONFIG_LIST, SERVER_LIST},
+        commands::{
+            apply,
+            era::{is_void, observe_end, observe_era},
+            notify_waiters,
+        },
+        queries::{self, as_of_ms, era_changes, CONFIG_LIST, SERVER_LIST},
         Feed,
     },
     log::{info, warn},
@@ -22,7 +26,7 @@
         sync::watch,
         time::{sleep, timeout},
     },
-    types::exponential_backoff_ms,
+    types::{exponential_backoff_ms, EraNews},
 };
 
 /// How long a read of the configuration or the servers waits for a change, in milliseconds. It bounds the time until an
@@ -169,6 +173,8 @@
             wait_ms: 0,
         };
         match (feed.source.servers)(cursor).await {
+            // Offsets of another era belong to other records.
+            Ok(history) if history.era != update.era => return,
             Ok(history) if history.next_offset > from => {
                 from = history.next_offset;
                 apply::history(feed, &history);
@@ -219,6 +225,8 @@
     read_ms: u64,
     /// Failed reads since then.
     failures: u32,
+    /// Number of changes of the store's era up to which the offset applies.
+    era_changes: u64,
 }
 
 /// Reads a list whenever there is a purpose. All reads of a list are made here, one after the other, so that none of them
@@ -300,6 +308,11 @@
     Apply: Fn(&ListUpdate<Value>, u64) -> bool,
 {
     let sent_ms = feed.now_ms();
+    let sent_changes = era_changes(feed);
+    if progress.era_changes != sent_changes {
+        (progress.from, progress.era_changes) = (None, sent_changes);
+        progress.must_be_full = true;
+    }
     let needs_full =
         progress.must_be_full || (list.needs_full)(feed, sent_ms.saturating_sub(progress.read_ms));
     let known = progress.from.max((list.known_offset)(feed));
@@ -313,7 +326,23 @@
     };
     let result = read_and_report(feed, list, purpose, read(cursor)).await;
     log_read(list, purpose, cursor, &result, feed.now_ms() - sent_ms);
+    let (stated, news) = match &result {
+        Ok(ListUpdate { era, .. }) | Err(ReadError::Trimmed { era, .. }) => {
+            (*era, observe_era(feed, *era, sent_ms, list.name))
+        }
+        Err(_) => (None, EraNews::Unchanged),
+    };
+    if let Ok(update) = &result {
+        if update.is_full && update.era.is_none() {
+            observe_end(feed, update.next_offset, progress.from, list.name);
+        }
+    }
+    let is_from_offset = cursor.from.is_some();
     match result {
+        Ok(_) if is_void(feed, news, is_from_offset, stated.is_some(), sent_changes) => {
+            progress.must_be_full = true;
+            0
+        }
         Ok(update) => {
             if progress.failures > 0 {
                 log_dependency(list.name, "regained", progress.failures);
@@ -324,6 +353,7 @@
                 must_be_full: false,
                 read_ms: now_ms,
                 failures: 0,
+                era_changes: era_changes(feed),
             };
             let is_applied = apply_update(&update, as_of_ms(&cursor, &update, sent_ms, now_ms));
             set_list_failing(feed, list, false);
@@ -334,7 +364,7 @@
                 CHECK_INTERVAL_MS
             }
         }
-        // The changes are no longer kept, so the full list is read next.
+        // The store doesn't have the offset, so the full list is read next.
         Err(ReadError::Trimmed { .. }) if cursor.from.is_some() => {
             progress.must_be_full = true;
             0
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -42,6 +42,19 @@
     let _ = timeout(Duration::from_millis(timeout_ms), wait).await;
 }
 
+/// Returns the newest era of the store's data that is known, and how often the store has lost records since the start of the
+/// process.
+pub fn store_era(feed: &Feed) -> (Option<u64>, u64) {
+    feed.state.with(0, |state| {
+        (state.store_era.known(), state.store_era.changes())
+    })
+}
+
+/// Returns how often the store has lost records since the start of the process.
+pub(crate) fn era_changes(feed: &Feed) -> u64 {
+    store_era(feed).1
+}
+
 /// Returns whether the list of servers was made from what this instance read from the platform.
 pub(crate) fn is_from_platform(feed: &Feed) -> bool {
     feed.state.with(0, |state| state.base == ListBase::Platform)
@@ -97,6 +110,7 @@
             server_digest: state.server_digest,
             known_age_ms: age_ms(state.servers_as_of_ms, now_ms),
             refused_servers: refused.iter().map(encode_removed_server).collect(),
+            store_era: state.store_era.known(),
         }
     })
 }
@@ -140,12 +154,13 @@
             .state
             .with(0, |state| roster_queries::recent_removals(&state.roster));
     }
-    let (config_offset, superseded_age_ms) = feed.state.with(0, |state| {
+    let (config_offset, superseded_age_ms, store_era) = feed.state.with(0, |state| {
         let mut superseded = state.superseded.iter();
         let known = superseded.find(|(version, _)| *version == request.known_version);
         (
             state.config_offset,
             known.map(|(_, until_ms)| now_ms.saturating_sub(*until_ms)),
+            state.store_era.known(),
         )
     });
     SyncResponse {
@@ -153,6 +168,7 @@
         config_age_ms,
         config_offset,
         superseded_age_ms,
+        store_era,
         waited_ms: now_ms.saturating_sub(received_ms),
         ..convert::encode_delta(&delta, feed.id, server_age_ms)
     }
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -17,7 +17,7 @@
     },
     stream::{PublishedConfig, Source},
     tokio::sync::watch,
-    types::Shards,
+    types::{Shards, StoreEra},
     wire::generated::{ConfigPartRequest, ConfigPartResponse, SyncRequest, SyncResponse},
 };
 
@@ -151,6 +151,13 @@
     pub(crate) failing_lists: HashSet<&'static str>,
     /// Earliest time at which this instance may stop reading the platform, in milliseconds of the feed's clock.
     pub(crate) read_until_ms: u64,
+    /// Era of the store's data.
+    pub(crate) store_era: StoreEra,
+    /// Number of changes of that era when the directory was last read.
+    pub(crate) directory_changes: u64,
+    /// Time until which instances that are missing from the store's list are kept, in milliseconds of the feed's clock: their
+    /// announcements may be lost.
+    pub(crate) keep_instances_until_ms: u64,
 }
 
 /// Keeps an instance's configuration, server list and instance list up to date.
@@ -175,6 +182,8 @@
     pub(crate) is_leaving: AtomicBool,
     /// Whether this instance reads the platform; the tasks that read the lists wait for it.
     pub(crate) reads_platform: watch::Sender<bool>,
+    /// Number of changes of the store's era; wakes the task that announces this instance.
+    pub(crate) era_changes: watch::Sender<u64>,
 }
 
 impl Feed {
@@ -191,6 +200,7 @@
             changed: watch::channel(0).0,
             is_leaving: AtomicBool::new(false),
             reads_platform: watch::channel(false).0,
+            era_changes: watch::channel(0).0,
             hooks,
         }
     }
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -176,6 +176,7 @@
         whole: true,
         settled: true,
         source_age_ms: 0,
+        store_era: None,
         waited_ms: 0,
         instances: Vec::new(),
         servers: Vec::new(),
@@ -327,6 +328,7 @@
         server_digest: 0,
         known_age_ms: 0,
         refused_servers: Vec::new(),
+        store_era: None,
         wait_ms: 2_000,
         own: encode_instance(&instance("i2")),
     }
@@ -349,6 +351,7 @@
         server_digest: 0,
         known_age_ms: 0,
         refused_servers: Vec::new(),
+        store_era: None,
     };
     record_requester(&feed, &request.own);
     let started = Instant::now();
--- a/crates/feed/tests/late_writes.rs
+++ b/crates/feed/tests/late_writes.rs
@@ -53,6 +53,8 @@
         faults,
         changes: changes.collect(),
         late_writes: late_writes.collect(),
+        rollbacks: Vec::new(),
+        without_era: Vec::new(),
         bound_ms: BOUND_MS,
         has_start_times: true,
         server_bytes: MEMBER_BYTES,
--- a/crates/feed/tests/propagation.rs
+++ b/crates/feed/tests/propagation.rs
@@ -82,6 +82,8 @@
         faults: faults.to_vec(),
         changes: changes(),
         late_writes: Vec::new(),
+        rollbacks: Vec::new(),
+        without_era: Vec::new(),
         bound_ms: BOUND_MS,
         has_start_times: !seed.is_multiple_of(4),
         server_bytes: MEMBER_BYTES,
--- a/crates/feed/tests/startup.rs
+++ b/crates/feed/tests/startup.rs
@@ -37,6 +37,8 @@
         faults: faults.to_vec(),
         changes: Vec::new(),
         late_writes: Vec::new(),
+        rollbacks: Vec::new(),
+        without_era: Vec::new(),
         bound_ms: 3_000,
         has_start_times: true,
         server_bytes: MEMBER_BYTES * servers / SERVERS as u64,
--- a/crates/feed/tests/support/mod.rs
+++ b/crates/feed/tests/support/mod.rs
@@ -14,16 +14,16 @@
     check::Outcome,
     fault::{Fault, FaultKind},
     link::MEMBER_BYTES,
-    store::{LateWrite, ServerState, StoreChange, SERVERS},
+    store::{LateWrite, Rollback, ServerState, StoreChange, SERVERS},
 };
 
 use {
     self::{
         calls::{patch, request_part, sync},
-        check::check,
+        check::{check, check_own_records},
         link::{pass, Link},
         start::{count_calls, restart_all, wait_until_started},
-        store::{source, StoreModel},
+        store::{server_name, source, StoreModel},
     },
     config::{
         commands::merge_accepted, queries::accepted_version, AcceptedConfig, ConfigReplica,
@@ -72,6 +72,10 @@
     pub(crate) changes: Vec<StoreChange>,
     /// Writes that the store executes late, at times in milliseconds after the fleet has settled.
     pub(crate) late_writes: Vec<LateWrite>,
+    /// Returns of the store from a copy, at times in milliseconds after the fleet has settled, multiples of 50 ms.
+    pub(crate) rollbacks: Vec<Rollback>,
+    /// Instances to which the store doesn't state its era.
+    pub(crate) without_era: Vec<usize>,
     /// Time from an acknowledgement until the change must be known everywhere, in milliseconds.
     pub(crate) bound_ms: u64,
     /// Whether the servers report when their processes started.
@@ -101,6 +105,8 @@
     servers: BTreeMap<String, ServerState>,
     /// Whether an older version replaced a newer one.
     has_regressed: bool,
+    /// A server that left, was known to be gone and has returned, in a run with rollbacks.
+    returned: Option<usize>,
 }
 
 impl Belief {
@@ -109,6 +115,9 @@
     }
 }
 
+/// Records that the instances write: what each announced, and the directory of sources.
+type OwnRecords = (Vec<u64>, BTreeMap<String, ListedSource>);
+
 /// A call to the store.
 #[derive(Clone, Copy, Debug)]
 struct StoreCall {
@@ -120,6 +129,7 @@
 
 pub(crate) struct World {
     faults: Vec<Fault>,
+    rollbacks: Vec<Rollback>,
     started: Instant,
     store: StoreModel,
     processes: Mutex<Vec<Option<Process>>>,
@@ -140,6 +150,10 @@
     links: Vec<(Link, Link)>,
     /// Incarnation that each instance announced last.
     announced: Mutex<Vec<u64>>,
+    /// Copy of the instances' own records to which the store returns.
+    copy: Mutex<Option<OwnRecords>>,
+    /// Instances to which the store doesn't state its era.
+    without_era: Vec<usize>,
 }
 
 impl World {
@@ -184,6 +198,27 @@
         !faults.any(|fault| fault.is_recent(instance, now_ms, STABLE_MS))
     }
 
+    /// Returns the era that the store states to an instance.
+    fn stated_era(&self, index: usize) -> Option<u64> {
+        let era = 1 + self.store.rollbacks_before(self.now_ms()) as u64;
+        (!self.without_era.contains(&index)).then_some(era)
+    }
+
+    fn copy_own_records(&self) {
+        let records = (
+            locked(&self.announced).clone(),
+            locked(&self.directory).clone(),
+        );
+        *locked(&self.copy) = Some(records);
+    }
+
+    fn restore_own_records(&self) {
+        if let Some((announced, directory)) = locked(&self.copy).take() {
+            *locked(&self.announced) = announced;
+            *locked(&self.directory) = directory;
+        }
+    }
+
     fn feed_of(&self, name: &str) -> Option<(usize, Arc<Feed>)> {
         let index: usize = name.strip_prefix('i')?.parse().ok()?;
         let processes = locked(&self.processes);
@@ -340,7 +375,22 @@
         owns_pools: Box::new(move || index.is_multiple_of(10)),
         publish_view: Box::new(move |view: Arc<View>| {
             let servers = believed_servers(&view);
-            for_view.update_belief(index, incarnation, |belief| belief.servers = servers);
+            let now_ms = for_view.now_ms();
+            for_view.update_belief(index, incarnation, |belief| {
+                // The first view that has servers brings them all.
+                let is_new = |name: &String| {
+                    !belief.servers.is_empty() && !belief.servers.contains_key(name)
+                };
+                let gone = (0..SERVERS)
+                    .filter(|&at| for_view.store.server_state(at, now_ms) == ServerState::Gone);
+                let mut returned = gone.filter(|&at| {
+                    servers.contains_key(&server_name(at)) && is_new(&server_name(at))
+                });
+                if !for_view.rollbacks.is_empty() {
+                    belief.returned = belief.returned.or(returned.next());
+                }
+                belief.servers = servers;
+            });
         }),
     }
 }
@@ -425,7 +475,10 @@
     }
     let last_fault_ms = world.faults.iter().map(Fault::end_ms).max();
     let last_change_ms = scenario.changes.iter().map(|change| change.at_ms).max();
-    let last_ms = last_fault_ms.max(last_change_ms.map(|at_ms| at_ms + SETTLE_MS));
+    let last_return_ms = world.rollbacks.iter().map(Rollback::return_ms).max();
+    let last_ms = last_fault_ms
+        .max(last_change_ms.map(|at_ms| at_ms + SETTLE_MS))
+        .max(last_return_ms.map(|at_ms| at_ms + SETTLE_MS));
     let end_ms = last_ms.unwrap_or(SETTLE_MS) + STABLE_MS + scenario.bound_ms;
     let mut outcome = Outcome {
         started_ms: wait_until_started(&world).await,
@@ -444,9 +497,20 @@
         for &index in killed.flat_map(|fault| &fault.instances) {
             start(&world, index);
         }
+        for rollback in &world.rollbacks {
+            if rollback.copy_ms() == now_ms {
+                world.copy_own_records();
+            }
+            if rollback.return_ms() == now_ms {
+                world.restore_own_records();
+            }
+        }
         check(&world, scenario.bound_ms, &mut outcome);
         world.sleep_ms(CHECK_INTERVAL_MS).await;
     }
+    if !scenario.rollbacks.is_empty() {
+        check_own_records(&world, &mut outcome);
+    }
     if scenario.restarts_all {
         restart_all(&world, &mut outcome).await;
     }
@@ -470,10 +534,15 @@
     let late_writes = scenario.late_writes.iter();
     let late_writes = late_writes.map(|late| late.delayed(SETTLE_MS));
     let late_writes: Vec<LateWrite> = late_writes.collect();
+    let rollbacks = scenario.rollbacks.iter();
+    let rollbacks: Vec<Rollback> = rollbacks.map(|it| it.delayed(SETTLE_MS)).collect();
     World {
         faults: faults.collect(),
         started: Instant::now(),
-        store: StoreModel::new(&changes, &late_writes, scenario.has_start_times),
+        store: StoreModel::new(&changes, &late_writes, &rollbacks, scenario.has_start_times),
+        rollbacks,
+        without_era: scenario.without_era.clone(),
+        copy: Mutex::new(None),
         processes: Mutex::new((0..scenario.instances).map(|_| None).collect()),
         beliefs: Mutex::new(vec![Belief::default(); scenario.instances]),
         server_bytes: scenario.server_bytes,
--- a/crates/feed/tests/support/store.rs
+++ b/crates/feed/tests/support/store.rs
@@ -27,6 +27,8 @@
 const PROGRESS_TIMEOUT_MS: u64 = 600;
 /// Time allowed for an append, in milliseconds.
 const APPEND_TIMEOUT_MS: u64 = 1_200;
+/// Time from the store's return from a copy until operators and servers write again what was lost, in milliseconds.
+const REWRITE_MS: u64 = 300;
 /// Longest delay of an answer while the store is slow, in milliseconds.
 const SLOW_MS: u64 = 900;
 
@@ -74,14 +76,62 @@
     }
 }
 
+/// A return of the store from a copy of its data. Times are in milliseconds of the simulation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rollback {
+    /// Time from which the store is away.
+    pub(crate) at_ms: u64,
+    /// Time for which it is away.
+    pub(crate) for_ms: u64,
+    /// Age of the copy when the store goes away.
+    pub(crate) copy_age_ms: u64,
+}
+
+impl Rollback {
+    /// Returns the same rollback `ms` later.
+    pub(crate) fn delayed(self, ms: u64) -> Self {
+        Self {
+            at_ms: self.at_ms + ms,
+            ..self
+        }
+    }
+
+    pub(crate) fn copy_ms(&self) -> u64 {
+        self.at_ms.saturating_sub(self.copy_age_ms)
+    }
+
+    pub(crate) fn return_ms(&self) -> u64 {
+        self.at_ms + self.for_ms
+    }
+
+    fn is_away(&self, now_ms: u64) -> bool {
+        (self.at_ms..=self.return_ms()).contains(&now_ms)
+    }
+
+    /// Returns whether what was written at this time is lost.
+    fn loses(&self, at_ms: u64) -> bool {
+        (self.copy_ms() + 1..=self.return_ms()).contains(&at_ms)
+    }
+}
+
+/// What the store has from a rollback to the next one.
+#[derive(Debug, Default)]
+struct Epoch {
+    /// Times at which the records of servers are written or deleted, each with its server, in order. A position in it is
+    /// an offset.
+    writes: Vec<(u64, usize)>,
+    /// Times at which versions of the configuration after the first one are written, in order.
+    published_ms: Vec<u64>,
+}
+
 /// The contents of the store.
 #[derive(Debug)]
 pub(crate) struct StoreModel {
     changes: Vec<StoreChange>,
     late_writes: Vec<LateWrite>,
-    /// Times at which the records of servers are written or deleted, each with its server, in order. A position in it is
-    /// an offset.
-    writes: Vec<(u64, usize)>,
+    rollbacks: Vec<Rollback>,
+    /// What the store has before the first rollback, and after each.
+    epochs: Vec<Epoch>,
     /// By server: the times at which it sent a write of its record, or the record was deleted, in order.
     writes_of: Vec<Vec<u64>>,
     /// Whether the servers report when their processes started.
@@ -92,39 +142,98 @@
     pub(crate) fn new(
         changes: &[StoreChange],
         late_writes: &[LateWrite],
+        rollbacks: &[Rollback],
         has_start_times: bool,
     ) -> Self {
         let mut store = Self {
             changes: changes.to_vec(),
             late_writes: late_writes.to_vec(),
-            writes: Vec::new(),
+            rollbacks: rollbacks.to_vec(),
+            epochs: Vec::new(),
             writes_of: Vec::new(),
             has_start_times,
         };
+        let mut first = Epoch::default();
         for server in 0..SERVERS {
             let mut times_ms = store.heartbeats_and_changes(server);
             let writes = times_ms.iter().map(|&at_ms| (at_ms, server));
-            store.writes.extend(writes);
+            first.writes.extend(writes);
             let late = late_writes.iter().filter(|late| late.server == server);
             times_ms.extend(late.map(|late| late.sent_ms));
             times_ms.sort_unstable();
             store.writes_of.push(times_ms);
         }
-        store.writes.sort_unstable();
+        first.writes.sort_unstable();
+        first.published_ms = store.changes_of(None).map(|it| it.at_ms).collect();
+        store.epochs.push(first);
+        for rollback in rollbacks {
+            let epoch = store.next_epoch(rollback);
+            store.epochs.push(epoch);
+        }
         store
     }
 
+    /// Returns what the store has after a rollback: the copy, what operators and servers write again, and what follows.
+    fn next_epoch(&self, rollback: &Rollback) -> Epoch {
+        let copy_ms = rollback.copy_ms();
+        let again_ms = rollback.return_ms() + REWRITE_MS;
+        let (former, original) = (self.epochs.last(), &self.epochs[0]);
+        let former = former.unwrap_or(original);
+        let lost = |at_ms: u64| rollback.loses(at_ms);
+        let mut writes: Vec<_> = former.writes.clone();
+        writes.retain(|&(at_ms, _)| at_ms <= copy_ms);
+        let written_again = (0..SERVERS).filter(|&server| {
+            let mut all = self.epochs.iter().flat_map(|epoch| &epoch.writes);
+            all.any(|&(at_ms, of)| of == server && lost(at_ms))
+        });
+        writes.extend(written_again.map(|it| (again_ms + it as u64, it)));
+        let later = original.writes.iter();
+        writes.extend(later.filter(|(at_ms, _)| *at_ms > rollback.return_ms()));
+        writes.sort_unstable();
+        let mut published_ms = former.published_ms.clone();
+        published_ms.retain(|&at_ms| at_ms <= copy_ms);
+        let all = self.changes_of(None).map(|change| change.at_ms);
+        let later = all
+            .skip(published_ms.len())
+            .map(|at_ms| at_ms.max(again_ms));
+        published_ms.extend(later.collect::<Vec<_>>());
+        Epoch {
+            writes,
+            published_ms,
+        }
+    }
+
+    /// Returns the number of rollbacks before `now_ms`.
+    pub(crate) fn rollbacks_before(&self, now_ms: u64) -> usize {
+        let returned = |rollback: &&Rollback| rollback.return_ms() < now_ms;
+        self.rollbacks.iter().filter(returned).count()
+    }
+
+    pub(crate) fn is_away(&self, now_ms: u64) -> bool {
+        self.rollbacks.iter().any(|it| it.is_away(now_ms))
+    }
+
+    /// Returns whether the store is away, or returned less than `stable_ms` ago.
+    pub(crate) fn is_recovering(&self, now_ms: u64, stable_ms: u64) -> bool {
+        let mut rollbacks = self.rollbacks.iter();
+        rollbacks.any(|it| (it.at_ms..=it.return_ms() + stable_ms).contains(&now_ms))
+    }
+
+    fn epoch(&self, now_ms: u64) -> &Epoch {
+        &self.epochs[self.rollbacks_before(now_ms)]
+    }
+
+    /// Returns the version of the configuration that the store, as it is at `now_ms`, has had since `at_ms`.
+    pub(crate) fn listed_version(&self, at_ms: u64, now_ms: u64) -> u64 {
+        let published_ms = &self.epoch(now_ms).published_ms;
+        1 + published_ms.partition_point(|&it| it <= at_ms) as u64
+    }
+
     fn changes_of(&self, server: Option<usize>) -> impl Iterator<Item = &StoreChange> {
         let matching = move |change: &&StoreChange| change.server.map(|(at, _)| at) == server;
         self.changes.iter().filter(matching)
     }
 
-    /// Returns the version of the configuration at `now_ms`.
-    pub(crate) fn version(&self, now_ms: u64) -> u64 {
-        let published = self.changes_of(None);
-        1 + published.filter(|change| change.at_ms <= now_ms).count() as u64
-    }
-
     /// Returns the number of routes in a version of the configuration.
     pub(crate) fn route_count(&self, version: u64) -> u64 {
         let published = self.changes_of(None).take(version as usize - 1);
@@ -156,7 +265,8 @@
 
     /// Returns the offset that follows the writes up to `now_ms`.
     fn end_offset(&self, now_ms: u64) -> usize {
-        self.writes.partition_point(|&(at_ms, _)| at_ms <= now_ms)
+        let writes = &self.epoch(now_ms).writes;
+        writes.partition_point(|&(at_ms, _)| at_ms <= now_ms)
     }
 
     /// Returns the number of writes of its record that the server had sent by `now_ms`, deletions included.
@@ -204,18 +314,18 @@
 
     /// Returns the time at which the servers' records change next after `now_ms`, at most `limit_ms`.
     fn next_write(&self, now_ms: u64, limit_ms: u64) -> u64 {
-        let next = self.writes.get(self.end_offset(now_ms));
+        let next = self.epoch(now_ms).writes.get(self.end_offset(now_ms));
         next.map_or(limit_ms, |&(at_ms, _)| at_ms.min(limit_ms))
     }
 
     fn next_version(&self, now_ms: u64, limit_ms: u64) -> u64 {
-        let times = self.changes_of(None).map(|change| change.at_ms);
+        let times = self.epoch(now_ms).published_ms.iter().copied();
         let next = times.filter(|&at_ms| at_ms > now_ms).min();
         next.map_or(limit_ms, |at_ms| at_ms.min(limit_ms))
     }
 
     fn read_configuration(&self, from: Option<u64>, now_ms: u64) -> ListUpdate<PublishedConfig> {
-        let version = self.version(now_ms);
+        let version = self.listed_version(now_ms, now_ms);
         let published = PublishedConfig {
             version,
             document: Document::default(),
@@ -235,6 +345,16 @@
         }
     }
 
+    /// Returns the time of which the store has the server's record; earlier than `now_ms` only after a rollback.
+    fn newest_ms(&self, server: usize, now_ms: u64) -> u64 {
+        if self.rollbacks_before(now_ms) == 0 {
+            return now_ms;
+        }
+        let mut written = self.epoch(now_ms).writes[..self.end_offset(now_ms)].iter();
+        let last = written.rfind(|&&(_, of)| of == server);
+        last.map_or(0, |&(at_ms, _)| at_ms)
+    }
+
     /// Returns the newest record of each server, or all records from an offset on.
     fn read_servers(&self, from: Option<u64>, now_ms: u64) -> ListUpdate<BackendServer> {
         let end = self.end_offset(now_ms);
@@ -244,11 +364,13 @@
         };
         let changes = match from {
             None => {
-                let newest = (0..SERVERS).map(|server| change(server, now_ms));
+                let newest =
+                    (0..SERVERS).map(|server| change(server, self.newest_ms(server, now_ms)));
                 newest.filter(|change| change.value.is_some()).collect()
             }
             Some(from) => {
-                let written = self.writes[..end].iter().skip(from as usize);
+                let written = self.epoch(now_ms).writes[..end].iter();
+                let written = written.skip(from as usize);
                 let records = written.map(|&(at_ms, server)| change(server, at_ms));
                 records.collect()
             }
@@ -302,7 +424,8 @@
     let timeout_ms = wait_ms + READ_TIMEOUT_MS;
     let answer = async {
         world.sleep_ms(DELAY_MS).await;
-        if world.has_fault(index, &[FaultKind::StoreRejects]) {
+        let arrived_ms = world.now_ms();
+        if world.has_fault(index, &[FaultKind::StoreRejects]) || world.store.is_away(arrived_ms) {
             world.sleep_ms(DELAY_MS).await;
             return Err(ReadError::Unavailable);
         }
@@ -313,11 +436,27 @@
         if let Some(from) = cursor.from {
             let now_ms = world.now_ms();
             let next_ms = next_change(&world.store, now_ms, now_ms + cursor.wait_ms);
-            if make(&world.store, Some(from), now_ms).changes.is_empty() {
+            let made = make(&world.store, Some(from), now_ms);
+            if made.changes.is_empty() && made.next_offset >= from {
                 world.sleep_ms(next_ms - now_ms).await;
             }
         }
-        let update = make(&world.store, cursor.from, world.now_ms());
+        let now_ms = world.now_ms();
+        let eras = [arrived_ms, now_ms].map(|at_ms| world.store.rollbacks_before(at_ms));
+        if world.store.is_away(now_ms) || eras[0] != eras[1] {
+            return Err(ReadError::Unavailable);
+        }
+        let mut update = make(&world.store, cursor.from, now_ms);
+        update.era = world.stated_era(index);
+        let is_behind_end = cursor.from.is_some_and(|from| from > update.next_offset);
+        if is_behind_end {
+            world.sleep_ms(DELAY_MS).await;
+            return Err(ReadError::Trimmed {
+                first_offset: 0,
+                first_at_ms: 0,
+                era: update.era,
+            });
+        }
         let sizes = update.changes.iter().filter_map(|change| {
             let value = change.value.as_ref()?;
             Some(record_bytes(&world.store, value))
@@ -423,7 +562,7 @@
             Box::pin(async move {
                 append(&world, index, INSTANCES).await?;
                 world.announce(index, incarnation);
-                Ok(None)
+                Ok(world.stated_era(index))
             })
         }),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
@@ -453,7 +592,8 @@
 async fn append(world: &World, index: usize, topic: usize) -> Result<(), AppendError> {
     world.count_store_call(index, false);
     world.sleep_ms(DELAY_MS).await;
-    if world.has_fault(index, &[FaultKind::StoreRejects]) {
+    let is_away = world.store.is_away(world.now_ms());
+    if is_away || world.has_fault(index, &[FaultKind::StoreRejects]) {
         return Err(AppendError::Refused);
     }
     let lost = wait_unless_lost(world, index);
@@ -462,5 +602,8 @@
         .await
         .map_err(|_| AppendError::Refused)?;
     world.pass_append(topic).await;
+    if world.store.is_away(world.now_ms()) {
+        return Err(AppendError::ResponseLost);
+    }
     Ok(())
 }
--- a/crates/member/src/commands.rs
+++ b/crates/member/src/commands.rs
@@ -9,7 +9,7 @@
     notices::record_notice,
     roster::{
         apply_delta, apply_instance_report, apply_refusals, apply_removals, apply_server_report,
-        confirm_refused, expire_servers, remove_instance, remove_server, retain_instances,
-        retain_servers, start_grace_period,
+        cancel_expiries, confirm_refused, expire_servers, outlast_rollback, remove_instance,
+        remove_server, retain_instances, retain_servers, start_grace_period,
     },
 };
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -18,6 +18,7 @@
 /// known.
 pub fn apply_server_report(roster: &mut Roster, server: &BackendServer, as_of_ms: u64) -> bool {
     let report_version = report_version(server);
+    note_copied_report(roster, &server.name, report_version);
     !is_stale(roster, &server.name, true, report_version, as_of_ms)
         && replace_report(roster, server, as_of_ms)
 }
@@ -26,6 +27,7 @@
 /// server's removal but its report is older, the server is added to the refused ones, unless it has returned since.
 fn apply_listed_server(roster: &mut Roster, server: &BackendServer, as_of_ms: u64) -> bool {
     let report_version = report_version(server);
+    note_copied_report(roster, &server.name, report_version);
     let is_absent = !roster.servers.contains_key(&server.name);
     let tombstone = last_tombstone(roster, &server.name, true).filter(|_| is_absent);
     let is_refused = tombstone.is_some_and(|tombstone| {
@@ -38,6 +40,27 @@
     apply_server_report(roster, server, as_of_ms)
 }
 
+/// Takes the first report of a removed server after a loss of the store's records for one that the store had before the
+/// removal.
+fn note_copied_report(roster: &mut Roster, name: &str, report_version: ReportVersion) {
+    if roster.servers.contains_key(name) {
+        return;
+    }
+    let mut newest_first = roster.tombstones.iter_mut().rev();
+    let last = newest_first.find(|tombstone| tombstone.is_server && tombstone.name == name);
+    let Some(tombstone) = last.filter(|tombstone| tombstone.awaits_copied_report) else {
+        return;
+    };
+    tombstone.awaits_copied_report = false;
+    if report_version.started_at_ms == tombstone.report_version.started_at_ms {
+        let copied = ReportVersion {
+            is_lost_removal: true,
+            ..report_version
+        };
+        tombstone.report_version = tombstone.report_version.max(copied);
+    }
+}
+
 /// Applies the removal of a server after its report of that version, which may have been received from any instance at any
 /// time: removes the server if its known report is older, or the same one and not known to have been listed after
 /// `as_of_ms`, and keeps the removal for later reports. A server that is removed so is refused from then on, since the known
@@ -102,10 +125,14 @@
     };
     let report_version = tombstone.report_version;
     let as_of_ms = tombstone.as_of_ms.max(as_of_ms);
+    let awaits_copied_report = tombstone.awaits_copied_report;
     roster
         .tombstones
         .retain(|tombstone| !tombstone.is_server || tombstone.name != name);
     add_tombstone(roster, name, true, report_version, as_of_ms);
+    if let Some(tombstone) = roster.tombstones.back_mut() {
+        tombstone.awaits_copied_report = awaits_copied_report;
+    }
     true
 }
 
@@ -144,6 +171,7 @@
     let report_version = ReportVersion {
         started_at_ms: instance.incarnation,
         sequence: 0,
+        is_lost_removal: false,
     };
     if is_stale(roster, &instance.name, false, report_version, u64::MAX) {
         return false;
@@ -181,12 +209,17 @@
     remove_server_now(roster, name, now_ms)
 }
 
-/// Removes an instance at once; the grace period applies to servers only.
+/// Removes an instance at once; the grace period applies to servers only. A process that was leaving does not return, also if
+/// the store loses the record of its removal.
 pub fn remove_instance(roster: &mut Roster, name: &str) -> bool {
     let Some(entry) = roster.instances.remove(name) else {
         return false;
     };
-    add_tombstone(roster, name, false, entry.report_version, 0);
+    let report_version = ReportVersion {
+        is_lost_removal: entry.value.presence == Presence::Leaving,
+        ..entry.report_version
+    };
+    add_tombstone(roster, name, false, report_version, 0);
     true
 }
 
@@ -231,6 +264,21 @@
     roster.grace_until_ms = now_ms + GRACE_PERIOD_MS;
 }
 
+/// Keeps what is known although the store has returned from an older copy of its records: removed servers return only with
+/// a newer report, and the others get a grace period to report again, since the copy may lack them or list them with an
+/// older report.
+pub fn outlast_rollback(roster: &mut Roster, now_ms: u64) {
+    let servers = &roster.servers;
+    let removals = roster.tombstones.iter_mut();
+    for tombstone in removals.filter(|it| it.is_server && !servers.contains_key(&it.name)) {
+        // Without a start time, reports have no order across a loss.
+        tombstone.report_version.is_lost_removal = tombstone.report_version.started_at_ms != 0;
+        tombstone.awaits_copied_report = tombstone.report_version.is_lost_removal;
+    }
+    start_grace_period(roster, now_ms);
+    roster.loss_grace_until_ms = roster.grace_until_ms;
+}
+
 /// Removes the servers that were missing after an outage and did not reappear within the grace period.
 pub fn expire_servers(roster: &mut Roster, now_ms: u64) -> bool {
     let due =
@@ -242,6 +290,17 @@
     })
 }
 
+/// Keeps the servers that were to be removed at the end of the grace period after a loss; called when another instance's list, which then
+/// tells of their removal, replaces the platform's.
+pub fn cancel_expiries(roster: &mut Roster) {
+    if roster.grace_until_ms != roster.loss_grace_until_ms {
+        return;
+    }
+    for entry in roster.servers.values_mut() {
+        entry.expires_at_ms = None;
+    }
+}
+
 /// Applies removals of servers, each with the version of the last report before it, of any age: from the platform's history
 /// or another instance's delta, before the changes that came with them.
 pub fn apply_removals(roster: &mut Roster, removals: &[(String, ReportVersion)]) -> bool {
@@ -293,7 +352,9 @@
     for name in delta.gone_instances.iter().filter(|name| *name != own_name) {
         changed |= remove_instance(roster, name);
     }
-    if delta.is_full && delta.removals_final {
+    // The sender may have started after a loss of the store's records, and so have only what the store has.
+    let is_in_grace = as_of_ms < roster.loss_grace_until_ms;
+    if delta.is_full && delta.removals_final && !is_in_grace {
         changed |= remove_missing_servers(roster, delta, as_of_ms);
     }
     for name in formerly_refused {
@@ -346,6 +407,7 @@
         report_version,
         as_of_ms,
         changed_version: roster.version,
+        awaits_copied_report: is_server && report_version.is_lost_removal,
     });
     if roster.tombstones.len() > TOMBSTONES_MAX {
         if let Some(oldest) = roster.tombstones.pop_front() {
--- a/crates/member/src/queries/roster.rs
+++ b/crates/member/src/queries/roster.rs
@@ -119,7 +119,7 @@
         last_removal(roster, &report.name).is_some_and(|tombstone| {
             report.started_at_ms != 0
                 && report.started_at_ms == tombstone.report_version.started_at_ms
-                && report.sequence >= tombstone.report_version.sequence
+                && !report_version(report).is_older(tombstone.report_version)
         })
     })
 }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -4,6 +4,9 @@
 //! - An older report of the same server or instance never replaces an entry, nor does it restore a removed one.
 //! - A server is removed after its newest known report and returns with a newer one, whichever path either arrives by. Of a
 //!   report and a removal of the same version the one with the later `as_of_ms` wins.
+//! - After a loss of the store's records, a known removal counts as later than the report before it, so that the store's older
+//!   copy of that report doesn't restore the server. The known report may not be the last one that the store had, so the
+//!   first report after the loss may be from the copy, too. A newer one than both does restore the server.
 //! - An entry received from another instance may lack the server's last reports, since reports that change nothing else
 //!   are not passed on. So a listed report that is older than the known removal doesn't show whether the server has
 //!   returned. It is refused, and the sender receives the removal with the next request: it then removes the server too, or
@@ -24,6 +27,8 @@
     pub started_at_ms: u64,
     /// Sequence number of the report within the process; 0 if unknown.
     pub sequence: u64,
+    /// Whether this is the version of a removal that follows the report and whose record the store has lost.
+    pub is_lost_removal: bool,
 }
 
 impl ReportVersion {
@@ -38,6 +43,7 @@
     ReportVersion {
         started_at_ms: server.started_at_ms,
         sequence: server.sequence,
+        is_lost_removal: false,
     }
 }
 
@@ -64,6 +70,8 @@
     pub(crate) as_of_ms: u64,
     /// Version of the roster at its removal.
     pub(crate) changed_version: u64,
+    /// Whether the next report may be one that the store had before the removal, whose record it has lost.
+    pub(crate) awaits_copied_report: bool,
 }
 
 /// A versioned table of the known servers and instances.
@@ -82,6 +90,8 @@
     /// End of the grace period after a platform outage, in milliseconds. Until then, a missing server may only have
     /// lapsed because it could not report during the outage.
     pub(crate) grace_until_ms: u64,
+    /// End of the grace period after the last loss of the store's records, in milliseconds; 0 before the first.
+    pub(crate) loss_grace_until_ms: u64,
 }
 
 impl Roster {
--- a/crates/member/tests/roster.rs
+++ b/crates/member/tests/roster.rs
@@ -4,7 +4,7 @@
     member::{
         commands::{
             apply_delta, apply_refusals, apply_removals, apply_server_report, confirm_refused,
-            expire_servers, remove_server, retain_servers, start_grace_period,
+            expire_servers, outlast_rollback, remove_server, retain_servers, start_grace_period,
         },
         queries::{
             delta, has_returning_server, have_records_lapsed, list_version, logged_removals,
@@ -12,7 +12,7 @@
         },
         BackendServer, Presence, Roster,
     },
-    quickcheck::quickcheck,
+    quickcheck::{quickcheck, Gen, QuickCheck},
 };
 
 fn report(name: &str, started_at_ms: u64, sequence: u64) -> BackendServer {
@@ -410,3 +410,183 @@
         live_server_names(&from) == live_server_names(&to)
     }
 }
+
+/// The store's older copy had the last report of a server that had left, and the server was used again.
+#[test]
+fn outlast_rollback_last_report_listed() {
+    let mut roster = Roster::new();
+    apply_server_report(&mut roster, &report("x", 100, 5), 10);
+    remove_server(&mut roster, "x", 20);
+    outlast_rollback(&mut roster, 30);
+    assert!(!apply_server_report(&mut roster, &report("x", 100, 5), 40));
+    assert!(!has_returning_server(&roster, [report("x", 100, 5)].iter()));
+    assert!(apply_server_report(&mut roster, &report("x", 100, 6), 50));
+}
+
+/// An instance that had missed the last reports before the removal took the copy's for a newer one.
+#[test]
+fn outlast_rollback_later_report_listed() {
+    let mut roster = Roster::new();
+    apply_server_report(&mut roster, &report("x", 100, 5), 10);
+    remove_server(&mut roster, "x", 20);
+    outlast_rollback(&mut roster, 30);
+    assert!(!apply_server_report(&mut roster, &report("x", 100, 8), 40));
+    assert!(!apply_server_report(&mut roster, &report("x", 100, 8), 50));
+    assert!(apply_server_report(&mut roster, &report("x", 100, 9), 60));
+}
+
+/// A process that has started since the removal is a newer one in any case.
+#[test]
+fn outlast_rollback_started_again() {
+    let mut roster = Roster::new();
+    apply_server_report(&mut roster, &report("x", 100, 5), 10);
+    remove_server(&mut roster, "x", 20);
+    outlast_rollback(&mut roster, 30);
+    assert!(apply_server_report(&mut roster, &report("x", 200, 0), 40));
+}
+
+/// Each loss delayed the return of a running server by one more report.
+#[test]
+fn outlast_rollback_twice() {
+    let mut roster = Roster::new();
+    apply_server_report(&mut roster, &report("x", 100, 5), 10);
+    remove_server(&mut roster, "x", 20);
+    outlast_rollback(&mut roster, 30);
+    outlast_rollback(&mut roster, 40);
+    assert!(!apply_server_report(&mut roster, &report("x", 100, 6), 50));
+    assert!(apply_server_report(&mut roster, &report("x", 100, 7), 60));
+}
+
+/// All servers were taken for removed, because the copy lists each with an older report than the known one.
+#[test]
+fn outlast_rollback_older_reports_listed() {
+    let mut roster = Roster::new();
+    for name in ["x", "y"] {
+        apply_server_report(&mut roster, &report(name, 100, 5), 10);
+    }
+    outlast_rollback(&mut roster, 1_000);
+    let copy = [report("x", 100, 3), report("y", 100, 3)];
+    retain_servers(&mut roster, 1_010, copy.iter());
+    assert_eq!(live_server_names(&roster), ["x", "y"]);
+    // The one that still runs reports again.
+    apply_server_report(&mut roster, &report("x", 100, 6), 1_500);
+    expire_servers(&mut roster, 10_000);
+    assert_eq!(live_server_names(&roster), ["x"]);
+}
+
+/// An instance that had started after the loss passed on the servers of the copy, and had fewer than were running.
+#[test]
+fn outlast_rollback_list_of_started_instance() {
+    let mut knowing = Roster::new();
+    for name in ["x", "y"] {
+        apply_server_report(&mut knowing, &report(name, 100, 5), 10);
+    }
+    remove_server(&mut knowing, "x", 20);
+    outlast_rollback(&mut knowing, 1_000);
+    let mut started = Roster::new();
+    apply_server_report(&mut started, &report("x", 100, 5), 1_010);
+    sync(&mut knowing, &started, 0, 1_020);
+    assert_eq!(live_server_names(&knowing), ["y"]);
+    // It learns of the removal in turn.
+    sync(&mut started, &knowing, 0, 1_030);
+    assert_eq!(live_server_names(&started), ["y"]);
+}
+
+/// Two readers of a store that loses records; each sees a loss with its next read.
+#[derive(Default)]
+struct LossModel {
+    /// Reports of the server by state of the store, newest last; none if it was removed.
+    states: Vec<Option<u64>>,
+    sequence: u64,
+    losses: u64,
+    /// Each with the number of losses that it has seen.
+    readers: [(Roster, u64); 2],
+    /// Time as of which each reader's list is current; none before its first read.
+    as_of_ms: [Option<u64>; 2],
+    now_ms: u64,
+}
+
+impl LossModel {
+    fn newest(&self) -> Option<u64> {
+        self.states.last().copied().flatten()
+    }
+
+    fn step(&mut self, step: u8) {
+        self.now_ms += 100;
+        match step % 6 {
+            0 => {
+                self.sequence += 1;
+                self.states.push(Some(self.sequence));
+            }
+            1 => self.states.push(None),
+            2 => {
+                let kept = self.states.len() / 2;
+                self.states.truncate(kept);
+                self.losses += 1;
+            }
+            3 => {
+                if let (Some(as_of_ms), true) =
+                    (self.as_of_ms[0], self.as_of_ms[0] > self.as_of_ms[1])
+                {
+                    let [(from, from_losses), (to, to_losses)] = &mut self.readers;
+                    if *from_losses > *to_losses {
+                        *to_losses = *from_losses;
+                        outlast_rollback(to, self.now_ms);
+                    }
+                    sync(to, from, 0, as_of_ms);
+                    self.as_of_ms[1] = Some(as_of_ms);
+                }
+            }
+            reader => self.read(usize::from(reader - 4)),
+        }
+    }
+
+    fn read(&mut self, reader: usize) {
+        let listed = self.newest().map(|sequence| report("x", 100, sequence));
+        let (now_ms, losses) = (self.now_ms, self.losses);
+        self.as_of_ms[reader] = Some(now_ms);
+        let (roster, known) = &mut self.readers[reader];
+        if std::mem::replace(known, losses) != losses {
+            outlast_rollback(roster, now_ms);
+        }
+        if let Some(server) = &listed {
+            apply_server_report(roster, server, now_ms);
+        }
+        retain_servers(roster, now_ms, listed.iter());
+        expire_servers(roster, now_ms);
+    }
+
+    /// Returns the sequence number of the server's report at a reader; none if it is not listed there.
+    fn listed(&self, reader: usize) -> Option<u64> {
+        let view = view(&self.readers[reader].0);
+        let sequence = pool_servers(&view, "s", "a")
+            .map(|server| server.sequence)
+            .next();
+        sequence
+    }
+}
+
+/// A server that was gone at a reader was listed there again with a report that it had had before.
+#[test]
+fn outlast_rollback_any_order() {
+    fn property(steps: Vec<u8>) -> bool {
+        let mut model = LossModel::default();
+        let mut removed = [None; 2];
+        for step in steps {
+            let before = [0, 1].map(|reader| model.listed(reader));
+            model.step(step);
+            for reader in [0, 1] {
+                let listed = model.listed(reader);
+                if listed.is_none() {
+                    removed[reader] = before[reader].max(removed[reader]);
+                } else if before[reader].is_none() && listed <= removed[reader] {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+    let runner = QuickCheck::new().tests(2_000);
+    let mut runner = runner.rng(Gen::from_size_and_seed(60, 18));
+    runner.quickcheck(property as fn(Vec<u8>) -> bool);
+}
--- a/crates/wire/src/convert/members.rs
+++ b/crates/wire/src/convert/members.rs
@@ -93,6 +93,7 @@
         whole: delta.is_full,
         settled: delta.removals_final,
         source_age_ms,
+        store_era: None,
         waited_ms: 0,
         instances: delta.instances.iter().map(encode_instance).collect(),
         servers: delta.servers.iter().map(encode_server).collect(),
@@ -115,6 +116,7 @@
     let report_version = ReportVersion {
         started_at_ms: json.born_ms,
         sequence: json.sequence,
+        is_lost_removal: json.lost.unwrap_or(false),
     };
     (json.name.clone(), report_version)
 }
@@ -124,6 +126,7 @@
     RemovedServer {
         name: name.clone(),
         born_ms: report_version.started_at_ms,
+        lost: report_version.is_lost_removal.then_some(true),
         sequence: report_version.sequence,
     }
 }
