Start replicas of the log over when it has lost records

The replicas ignored records whose offsets lay before the known one, so what was written after a loss was passed over: a claim of another instance, after which its key was run again, an ejection, an approval. start_over reads the stream from its start. Known claims keep their keys, and keys issued before the loss was noticed that may have a lost claim are refused. Lost ejections have ended.

cargo test -p claim -p config -p outlier: all pass, with four new cases.

--- a/crates/claim/src/commands.rs
+++ b/crates/claim/src/commands.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     advance::advance,
-    apply::{apply_event, expire_claims, skip_to},
+    apply::{apply_event, expire_claims, observe_era, skip_to, start_over},
     keys::{abandon_claim, begin_key, expire_keys, finish_key},
 };
--- a/crates/claim/src/commands/apply.rs
+++ b/crates/claim/src/commands/apply.rs
@@ -1,6 +1,9 @@
 //! Applies the events of one claim stream in log order.
 
-use crate::{Claim, ClaimEvent, ClaimReplica, KeyDigest};
+use {
+    crate::{Claim, ClaimEvent, ClaimReplica, KeyDigest},
+    types::EraNews,
+};
 
 /// Applies one event of the record at `offset`, which was appended at `at_ms` on the log's clock.
 pub fn apply_event(replica: &mut ClaimReplica, offset: u64, at_ms: u64, event: &ClaimEvent) {
@@ -30,6 +33,30 @@
     }
 }
 
+/// Records the era that a response states, which answers a request sent at `sent_ms` and was received at `received_ms`; starts
+/// over if it shows a loss. `log_ms` is the time of the response on the log's clock.
+pub fn observe_era(
+    replica: &mut ClaimReplica,
+    stated: Option<u64>,
+    sent_ms: u64,
+    received_ms: u64,
+    log_ms: u64,
+) -> EraNews {
+    let news = replica.store_era.observe(stated, sent_ms, received_ms);
+    if news == EraNews::Changed {
+        start_over(replica, log_ms);
+    }
+    news
+}
+
+/// Starts over after the log has lost records, which was noticed at `now_ms` on the log's clock: the stream is read from its
+/// start. The known claims keep their keys, also if the log no longer has them. Other claims made before that time may be
+/// missing.
+pub fn start_over(replica: &mut ClaimReplica, now_ms: u64) {
+    replica.next_offset = 0;
+    replica.complete_since_ms = replica.complete_since_ms.max(now_ms);
+}
+
 /// Removes the claims that were appended before `before_ms` on the log's clock; claims older than the claim window
 /// expire.
 pub fn expire_claims(replica: &mut ClaimReplica, before_ms: u64) {
--- a/crates/claim/src/queries.rs
+++ b/crates/claim/src/queries.rs
@@ -20,6 +20,11 @@
     replica.next_offset
 }
 
+/// Returns how often the log has lost records since the start of the process. An offset applies only as long as it is the same.
+pub fn era_changes(replica: &ClaimReplica) -> u64 {
+    replica.store_era.changes()
+}
+
 /// Returns whether a key issued at `issued_ms`, if that is known, may have a claim that was trimmed before this replica
 /// read it.
 ///
--- a/crates/claim/src/replica.rs
+++ b/crates/claim/src/replica.rs
@@ -2,7 +2,10 @@
 //!
 //! Invariant: a key is held by its first claim in log order since the last release by the previous holder.
 
-use std::collections::{HashMap, VecDeque};
+use {
+    std::collections::{HashMap, VecDeque},
+    types::StoreEra,
+};
 
 /// Digest of an idempotency key together with everything that scopes it.
 pub type KeyDigest = [u8; 16];
@@ -68,6 +71,8 @@
     pub(crate) claims_by_age: VecDeque<(u64, KeyDigest)>,
     /// Time since which no claim is missing, in milliseconds of the log's clock; 0 if nothing was trimmed unread.
     pub(crate) complete_since_ms: u64,
+    /// Era of the log.
+    pub(crate) store_era: StoreEra,
 }
 
 impl ClaimReplica {
--- a/crates/claim/tests/replica.rs
+++ b/crates/claim/tests/replica.rs
@@ -1,8 +1,8 @@
 //! Tests of the claim replica: trimmed streams, expiry and the age of keys.
 
 use claim::{
-    commands::{apply_event, expire_claims, skip_to},
-    queries::{claim_status, may_have_missed_claim, uuid_v7_timestamp_ms},
+    commands::{apply_event, expire_claims, observe_era, skip_to},
+    queries::{claim_status, may_have_missed_claim, next_offset, uuid_v7_timestamp_ms},
     ClaimEvent, ClaimReplica, ClaimStatus, Holder, KeyDigest,
 };
 
@@ -104,3 +104,34 @@
         None
     );
 }
+
+/// A claim behind the copy's end was never read, since its offset lay before the known one; its key was decided again.
+#[test]
+fn observe_era_changed_reads_again() {
+    let mut replica = ClaimReplica::new();
+    observe_era(&mut replica, Some(1), 0, 1, 5);
+    apply_event(&mut replica, 7, 10, &claim_event(1));
+    observe_era(&mut replica, Some(2), 20, 21, 100);
+    assert_eq!(next_offset(&replica), 0);
+    apply_event(&mut replica, 6, 110, &claim_event(2));
+    // The claim that was known first keeps its key, although the log has lost it.
+    assert_eq!(claim_status(&replica, &DIGEST, 1), ClaimStatus::Won);
+}
+
+/// The claim of another instance was lost before this one had read it; a repeat of its key was run again.
+#[test]
+fn observe_era_changed_unknown_claims() {
+    let mut replica = ClaimReplica::new();
+    observe_era(&mut replica, Some(1), 0, 1, 5);
+    assert!(!may_have_missed_claim(&replica, Some(90), 110, WINDOW_MS));
+    observe_era(&mut replica, Some(2), 20, 21, 100);
+    assert!(may_have_missed_claim(&replica, Some(90), 110, WINDOW_MS));
+    assert!(may_have_missed_claim(&replica, None, 110, WINDOW_MS));
+    assert!(!may_have_missed_claim(&replica, Some(101), 110, WINDOW_MS));
+    assert!(!may_have_missed_claim(
+        &replica,
+        None,
+        100 + WINDOW_MS,
+        WINDOW_MS
+    ));
+}
--- a/crates/config/src/commands.rs
+++ b/crates/config/src/commands.rs
@@ -2,4 +2,4 @@
 
 mod apply;
 
-pub use apply::{apply_event, merge_accepted, skip_malformed, skip_to};
+pub use apply::{apply_event, merge_accepted, skip_malformed, skip_to, start_over};
--- a/crates/config/src/commands/apply.rs
+++ b/crates/config/src/commands/apply.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// Starts over after the log has lost records: it is read from its start, and the active version stays. Its approval may be
+/// lost, so that another document may get the same version: no approval takes effect until a snapshot of the active version or
+/// of a newer one closes the gap.
+pub fn start_over(replica: &mut ConfigReplica) {
+    replica.next_offset = 0;
+    replica.proposals.clear();
+    if let Some(accepted) = replica.accepted.as_mut() {
+        accepted.through_offset = 0;
+        replica.gap = true;
+    }
+}
+
 /// Skips the record at `offset` because it can't be decoded; every instance skips it, so the replicas stay equal.
 pub fn skip_malformed(replica: &mut ConfigReplica, offset: u64) {
     replica.next_offset = replica.next_offset.max(offset + 1);
--- a/crates/config/tests/apply.rs
+++ b/crates/config/tests/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     config::{
-        commands::{apply_event, merge_accepted, skip_to},
+        commands::{apply_event, merge_accepted, skip_to, start_over},
         queries::{accepted_config, accepted_version, check_approval, document_digest, has_gap},
         AcceptedConfig, ApplyOutcome, ConfigEvent, ConfigReplica, Decision, Document, Proposal,
         RequestKind, Route,
@@ -186,3 +186,27 @@
     );
     assert!(check_approval(&replica, 0, &digest, "finance").is_ok());
 }
+
+/// The approval of the active version was lost. Another document got its version, and instances disagreed about it.
+#[test]
+fn start_over_approval_lost() {
+    let mut replica = ConfigReplica::new();
+    apply_event(&mut replica, 0, &approval(0, 1, "b"));
+    apply_event(&mut replica, 1, &approval(1, 2, "b"));
+    start_over(&mut replica);
+    // The log has the first approval only, and then another second one.
+    apply_event(&mut replica, 0, &approval(0, 1, "b"));
+    let outcome = apply_event(&mut replica, 1, &approval(1, 3, "b"));
+    assert_eq!(
+        (outcome, accepted_version(&replica)),
+        (ApplyOutcome::Gap, 2)
+    );
+    let accepted = accepted_config(&replica).expect("a version").clone();
+    assert_eq!(accepted.document, document(2));
+    apply_event(&mut replica, 2, &ConfigEvent::Snapshot(accepted));
+    let outcome = apply_event(&mut replica, 3, &approval(2, 4, "b"));
+    assert_eq!(
+        (outcome, accepted_version(&replica)),
+        (ApplyOutcome::InForce, 3)
+    );
+}
--- a/crates/outlier/src/commands/apply.rs
+++ b/crates/outlier/src/commands/apply.rs
@@ -46,6 +46,12 @@
     }
 }
 
+/// Starts over after the log has lost records: the stream is read from its start, and what it no longer has has ended. So all
+/// instances agree, and those that know a lost ejection don't enforce it alone.
+pub fn start_over(replica: &mut EjectionReplica) {
+    *replica = EjectionReplica::new();
+}
+
 /// Checks that the proposer knew the last accepted ejection, unless that one may have been trimmed, and that the
 /// healthy capacity without the server is not below the floor. When two proposers race, the later event has an outdated
 /// base offset and is rejected.
--- a/crates/outlier/tests/ejections.rs
+++ b/crates/outlier/tests/ejections.rs
@@ -2,7 +2,7 @@
 
 use {
     outlier::{
-        commands::{apply_event, skip_to},
+        commands::{apply_event, skip_to, start_over},
         queries::{is_counted_out, is_enforced, last_accepted_offset},
         EjectionEvent, EjectionEventKind, EjectionReplica, CAPACITY_MARGIN_MS, EJECTION_TTL_MS,
     },
@@ -187,3 +187,15 @@
         })
     }
 }
+
+/// The events after a loss were ignored, since their offsets lay before the known one.
+#[test]
+fn start_over_offsets_assigned_again() {
+    let mut replica = EjectionReplica::new();
+    let event = eject_event("a", 12, None);
+    assert!(apply_event(&mut replica, 9, &event, 0, 0, 0));
+    start_over(&mut replica);
+    assert!(!is_enforced(&replica, "a", 1));
+    assert!(apply_event(&mut replica, 0, &event, 0, 0, 0));
+    assert_eq!(last_accepted_offset(&replica), Some(0));
+}
