Read the log's streams again after it has lost records

follow and the claims' reads took a refused offset behind the log's end for a trimmed one and repeated the read without a pause, and went on from offsets that had been assigned again. Both now observe the era of each response and start their replicas over; an offset behind the end shows a loss also without an era. The metrics store_era and store_losses show what a node on the store's platform knows.

No end-to-end test plays a loss on the product's log.

--- a/crates/daemon/src/commands/claims.rs
+++ b/crates/daemon/src/commands/claims.rs
@@ -10,7 +10,7 @@
     claim::{
         commands::{
             abandon_claim, advance, apply_event, begin_key, expire_claims, expire_keys, finish_key,
-            skip_to,
+            observe_era, skip_to, start_over,
         },
         queries, AttemptAction, AttemptEvent, ClaimAttempt, ClaimEvent, Holder, KeyDigest,
         KeyState,
@@ -23,7 +23,7 @@
         time::{Duration, Instant},
     },
     stream::{queries::read, AppendError, ReadError},
-    types::{shard_hash, ResultCode},
+    types::{shard_hash, EraNews, ResultCode},
     wire::{
         convert, encode_digest, from_json,
         generated::{ClaimRecord, ClaimResponse, ClaimResponseRequest, ClaimState, ReadResponse},
@@ -193,11 +193,21 @@
 async fn read_back(node: &Node, index: usize, at_least: u64) -> bool {
     let stream = claim_stream_name(index);
     loop {
-        let from = node
-            .claim_replicas
-            .with(index as u64, |replica| queries::next_offset(replica));
+        let (from, sent_changes) = node.claim_replicas.with(index as u64, |replica| {
+            (queries::next_offset(replica), queries::era_changes(replica))
+        });
+        let sent_ms = node.now_ms();
         match read(&node.platform, &stream, from, 0).await {
             Ok(part) => {
+                let log_ms = part.response.now_ms;
+                let is_void = node.claim_replicas.with(index as u64, |replica| {
+                    let news = observe_era(replica, part.era, sent_ms, node.now_ms(), log_ms);
+                    news != EraNews::Unchanged || queries::era_changes(replica) != sent_changes
+                });
+                if is_void {
+                    warn!("the log has lost records; reading claim stream {index} again");
+                    continue;
+                }
                 apply_records(node, index, &part.response);
                 let read_to = from + part.response.records.len() as u64;
                 if read_to >= part.response.next_offset {
@@ -207,9 +217,17 @@
             Err(ReadError::Trimmed {
                 first_offset,
                 first_at_ms,
-                ..
+                era,
             }) => node.claim_replicas.with(index as u64, |replica| {
-                skip_to(replica, first_offset, first_at_ms);
+                let log_ms = unix_time_ms();
+                let news = observe_era(replica, era, sent_ms, node.now_ms(), log_ms);
+                let is_same = queries::era_changes(replica) == sent_changes;
+                if news == EraNews::Unchanged && is_same && from > 0 && first_offset <= from {
+                    // The offset lies behind the end, which shows a loss also if no era is stated.
+                    start_over(replica, log_ms);
+                } else if news == EraNews::Unchanged && is_same {
+                    skip_to(replica, first_offset, first_at_ms);
+                }
             }),
             Err(_) => return false,
         }
--- a/crates/daemon/src/commands/fold_config.rs
+++ b/crates/daemon/src/commands/fold_config.rs
@@ -23,8 +23,8 @@
 
 /// Follows the config stream; never returns.
 pub(crate) async fn follow_config(node: Arc<Node>) {
-    let (for_offset, for_records, for_trim) =
-        (Arc::clone(&node), Arc::clone(&node), Arc::clone(&node));
+    let clone = || Arc::clone(&node);
+    let (for_offset, for_records, for_trim, for_loss) = (clone(), clone(), clone(), clone());
     let handler = StreamHandler {
         next_offset: Box::new(move || {
             for_offset
@@ -46,6 +46,13 @@
                 state.gap_since_ms.get_or_insert(now_ms);
             });
         }),
+        on_rolled_back: Box::new(move || {
+            let now_ms = for_loss.now_ms();
+            for_loss.config.with(0, |state| {
+                commands::start_over(&mut state.replica);
+                state.gap_since_ms.get_or_insert(now_ms);
+            });
+        }),
     };
     follow(&node.platform, CONFIG_STREAM, &handler).await;
 }
--- a/crates/daemon/src/commands/fold_ejections.rs
+++ b/crates/daemon/src/commands/fold_ejections.rs
@@ -39,6 +39,7 @@
     let (for_records, records_service) = clones(&node, &service);
     let (for_trim, trim_service) = clones(&node, &service);
     let (for_continue, continue_service) = clones(&node, &service);
+    let (for_loss, loss_service) = clones(&node, &service);
     let handler = StreamHandler {
         next_offset: Box::new(move || {
             with_ejections(&for_offset, &offset_service, |replica| {
@@ -63,6 +64,9 @@
                 commands::skip_to(replica, first_offset);
             });
         }),
+        on_rolled_back: Box::new(move || {
+            with_ejections(&for_loss, &loss_service, commands::start_over);
+        }),
     };
     follow(&node.platform, &ejection_stream_name(&service), &handler).await;
 }
--- a/crates/daemon/src/commands/pool_maintenance.rs
+++ b/crates/daemon/src/commands/pool_maintenance.rs
@@ -126,6 +126,11 @@
     }
     let version = crate::queries::active_config_version(node);
     node.metrics.config_version.set(version as i64);
+    if let Some(feed) = node.feed.get() {
+        let (era, losses) = feed::queries::store_era(feed);
+        node.metrics.store_era.set(era.unwrap_or(0) as i64);
+        node.metrics.store_losses.set(losses as i64);
+    }
     node.metrics
         .log_age
         .set(crate::queries::log_age_ms(node) as i64);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -45,6 +45,10 @@
     pub(crate) claims: IntCounterVec,
     /// Version of the active configuration.
     pub(crate) config_version: IntGauge,
+    /// Newest era of the store's data.
+    pub(crate) store_era: IntGauge,
+    /// Losses of the store's records since the start of the process.
+    pub(crate) store_losses: IntGauge,
     /// Dropped log lines.
     pub(crate) dropped_log_lines: IntGauge,
     /// Time since the platform's log was last read, in milliseconds.
@@ -109,6 +113,12 @@
             suspicions: counter_vec(&registry, "suspects_total", "Suspicions", &["service"])?,
             claims: counter_vec(&registry, "claims_total", "Claims", &["verdict"])?,
             config_version: gauge(&registry, "config_version", "Version in force")?,
+            store_era: gauge(&registry, "store_era", "Newest era of the store's data")?,
+            store_losses: gauge(
+                &registry,
+                "store_losses",
+                "Losses of the store's records since the start",
+            )?,
             dropped_log_lines: gauge(&registry, "log_lines_left_out", "Log lines left out")?,
             log_age: gauge(&registry, "log_age_ms", "Time since the log was read")?,
             retry_credit: gauge_vec(
--- a/crates/stream/src/queries/follow.rs
+++ b/crates/stream/src/queries/follow.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{queries::read, PlatformClient, ReadError},
+    log::warn,
     std::time::Duration,
-    tokio::time::sleep,
+    tokio::time::{sleep, Instant},
+    types::{EraNews, StoreEra},
     wire::generated::ReadResponse,
 };
 
@@ -23,12 +25,32 @@
     /// Handles a trimmed stream, given its first kept offset and the time at which that record was appended, in
     /// milliseconds of the log's clock.
     pub on_trimmed: Box<dyn Fn(u64, u64) + Send + Sync>,
+    /// Discards the offset after the platform has lost records; the stream is then read from its start again.
+    pub on_rolled_back: Box<dyn Fn() + Send + Sync>,
 }
 
 /// Follows `stream` until `handler.should_continue` returns false. A failed read is repeated after a pause.
 pub async fn follow(platform: &PlatformClient, stream: &str, handler: &StreamHandler) {
+    let mut store_era = StoreEra::default();
+    let started_at = Instant::now();
+    let now_ms = || started_at.elapsed().as_millis() as u64;
     while (handler.should_continue)() {
-        match read(platform, stream, (handler.next_offset)(), FOLLOW_WAIT_MS).await {
+        let (from, sent_ms) = ((handler.next_offset)(), now_ms());
+        let result = read(platform, stream, from, FOLLOW_WAIT_MS).await;
+        let (era, is_ahead) = match &result {
+            Ok(part) => (part.era, false),
+            Err(ReadError::Trimmed {
+                first_offset, era, ..
+            }) => (*era, from > 0 && *first_offset <= from),
+            Err(_) => (None, false),
+        };
+        // An offset behind the end shows a loss also if the platform doesn't state its era.
+        if store_era.observe(era, sent_ms, now_ms()) == EraNews::Changed || is_ahead {
+            warn!("the platform has lost records; reading stream {stream} again");
+            (handler.on_rolled_back)();
+            continue;
+        }
+        match result {
             Ok(part) => (handler.handle_records)(&part.response),
             Err(ReadError::Trimmed {
                 first_offset,
