Let the store lose records in the soak

The soak had no loss of records. The store now goes away for a moment and returns from a copy of the time before, and what operators and servers wrote since is written again.

--- a/crates/soak/src/commands/faults.rs
+++ b/crates/soak/src/commands/faults.rs
@@ -38,7 +38,7 @@
 
 /// Kinds of disruptions, drawn with equal probability. The prefixes `store` and `server` name what is affected; the
 /// checks depend on these names.
-const DISRUPTION_KINDS: [&str; 16] = [
+const DISRUPTION_KINDS: [&str; 17] = [
     "stop",
     "kill",
     "pause",
@@ -49,6 +49,7 @@
     "store slow",
     "store loses answers",
     "store cut",
+    "store loses records",
     "server gray",
     "server silent",
     "server reset",
@@ -67,6 +68,7 @@
     let mut version = 1;
     let mut busy_until: Vec<Instant> = vec![Instant::now(); cluster.instances.len()];
     let mut drained_count = 0;
+    let mut store_busy_until = Instant::now();
     while Instant::now() < end {
         sleep(Duration::from_millis(rng.u64(0..MAX_GAP_MS))).await;
         let kind = DISRUPTION_KINDS[rng.usize(..DISRUPTION_KINDS.len())];
@@ -104,6 +106,12 @@
                 tasks
                     .spawn(async move { drop_store_responses(&cluster, instance, duration).await });
             }
+            // A copy from before another loss has records that this one lost.
+            "store loses records" if store_busy_until > Instant::now() => {}
+            "store loses records" => {
+                store_busy_until = Instant::now() + duration * 2;
+                tasks.spawn(async move { roll_store_back(&cluster, duration).await });
+            }
             kind if kind.starts_with("store") => {
                 tasks.spawn(async move { disrupt_store(&cluster, kind, duration).await });
             }
@@ -275,6 +283,24 @@
     Ok(())
 }
 
+/// Lets the store go away for a moment and return without the records of the last `duration`; operators and servers then write
+/// theirs again.
+async fn roll_store_back(cluster: &Cluster, duration: Duration) -> io::Result<()> {
+    record_disruption(cluster, "store loses records", None, duration * 2);
+    let copy = cluster.store.copy();
+    sleep(duration).await;
+    let set_outage = |outage| cluster.store.update_knobs(|knobs| knobs.outage = outage);
+    set_outage(OutageMode::Close);
+    sleep(duration / 2).await;
+    let lost = cluster.store.roll_back(copy);
+    set_outage(OutageMode::None);
+    let by_others = |topic: &str| ["keyed.op", "keyed.servers"].contains(&topic);
+    for (topic, record) in lost.into_iter().filter(|(topic, _)| by_others(topic)) {
+        cluster.store.put_raw(&topic, record);
+    }
+    Ok(())
+}
+
 /// Drops the store's responses to one instance for `duration`; then silences its open connections, which may have lost
 /// data, and lets new ones work.
 async fn drop_store_responses(
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -166,13 +166,22 @@
         StoreCopy { topics }
     }
 
-    /// Returns to the records of a copy, in the next era. Requests that are underway get no response.
-    pub fn roll_back(&self, copy: StoreCopy) {
+    /// Returns to the records of a copy, in the next era, and returns the lost records, each with its topic. Requests that are
+    /// underway get no response.
+    pub fn roll_back(&self, copy: StoreCopy) -> Vec<(String, Bytes)> {
         let mut state = self.shared.lock();
+        let mut lost = Vec::new();
+        for (name, topic) in &state.topics {
+            let kept = copy.topics.get(name).map_or(0, Topic::end_offset);
+            let kept = kept.saturating_sub(topic.first_offset) as usize;
+            let records = topic.records.iter().skip(kept);
+            lost.extend(records.map(|record| (name.clone(), record.clone())));
+        }
         state.topics = copy.topics;
         state.rollbacks += 1;
         drop(state);
         self.shared.notify_changed();
+        lost
     }
 
     /// Sets whether responses lack the era.
