--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -56,6 +56,7 @@
     ListUpdate {
         is_full: true,
         next_offset: 0,
+        era: None,
         changes: changes.collect(),
         record_errors: Vec::new(),
         received_bytes: 0,
@@ -106,7 +107,7 @@
             Box::pin(async move { result })
         }),
         write_directory: Box::new(|_, _| Box::pin(async { Ok(()) })),
-        announce: Box::new(|_| Box::pin(async { Ok(()) })),
+        announce: Box::new(|_| Box::pin(async { Ok(None) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
     }
 }
@@ -175,6 +176,7 @@
         whole: true,
         settled: true,
         source_age_ms: 0,
+        store_era: None,
         waited_ms: 0,
         instances: Vec::new(),
         servers: Vec::new(),
@@ -326,6 +328,7 @@
         server_digest: 0,
         known_age_ms: 0,
         refused_servers: Vec::new(),
+        store_era: None,
         wait_ms: 2_000,
         own: encode_instance(&instance("i2")),
     }
@@ -348,6 +351,7 @@
         server_digest: 0,
         known_age_ms: 0,
         refused_servers: Vec::new(),
+        store_era: None,
     };
     record_requester(&feed, &request.own);
     let started = Instant::now();
