Refuse less after a loss of instances, and describe the quotas

Cause: after the loss of a third of the instances, accounts below their quota were refused for seconds. Calls to lost owners took the time with them, an instance without a pool's owner charged its own part of the time only, and two quota owners without an answer counted as a refusal. After a restart of all, instances passed half of their part on for 5 s.

Change: the first message after a failed call carries no time. An instance without a pool's owner asks the quota owner itself. Requests wait for the next quota owner. The rate of credit is up to 125 % of the account's, with a shorter validity. A new process passes half on until its list has not grown for 2 s. An instance passes nothing on after a pause of more than a second.

--- a/crates/daemon/src/commands/acquire.rs
+++ b/crates/daemon/src/commands/acquire.rs
@@ -11,7 +11,7 @@
             local_choice, notices,
             peer_calls::{call, CallError},
             permit_acquire, permit_release,
-            quota_charge::{spread_ms, Charge},
+            quota_charge::{forget_peer_clock, spread_ms, Charge},
         },
         queries::{
             candidate_owners, closed_servers, limited_servers, server_closed_reason, ClosedServers,
@@ -83,7 +83,7 @@
             acquire_from_pools(node, &request, &mut credit, &mut charge).await?
         } else {
             credit.keep();
-            charge.charge_own(node, &request)?;
+            charge.charge_own(node, &request).await?;
             local_choice::choose_server(node, &request)?
         };
         let Some(reason) = server_closed_reason(node, &grant.server) else {
@@ -172,7 +172,7 @@
         .owner_fallbacks
         .with_label_values(&["no owner answered"])
         .inc();
-    charge.charge_own(node, request)?;
+    charge.charge_own(node, request).await?;
     local_choice::choose_server(node, request)
 }
 
@@ -201,6 +201,7 @@
                     charge.put_back(permit_request.quota.as_ref(), sent_ms);
                     credit.put_back(permit_request.credit_milli);
                 }
+                forget_peer_clock(node, &owner.name);
                 return None;
             }
         };
--- a/crates/daemon/src/commands/quota_calls.rs
+++ b/crates/daemon/src/commands/quota_calls.rs
@@ -4,7 +4,7 @@
     crate::{
         commands::{
             peer_calls::{call, CallError},
-            quota_charge::{clock_of, record_peer_clock, take_time},
+            quota_charge::{clock_of, forget_peer_clock, record_peer_clock, take_time},
         },
         queries::{has_quotas, quota_owners, quota_terms, time_gatherer},
         Node,
@@ -117,7 +117,7 @@
 }
 
 /// Keeps time as the quota owner of a group; `age_ms` is added to the ages of the parts.
-pub(crate) fn keep_time(node: &Node, group: usize, parts: &[TimePart], age_ms: u64) {
+fn keep_time(node: &Node, group: usize, parts: &[TimePart], age_ms: u64) {
     let now_ms = node.now_ms();
     node.quota_ledgers.with(group as u64, |ledger| {
         commands::add_time(ledger, parts, age_ms, now_ms);
@@ -125,12 +125,7 @@
 }
 
 /// Grants credit as the quota owner of a group, and logs when an account's requests begin to be refused.
-pub(crate) fn take_at_hand(
-    node: &Node,
-    group: usize,
-    ask: &CreditAsk,
-    terms: &QuotaTerms,
-) -> CreditGrant {
+fn take_at_hand(node: &Node, group: usize, ask: &CreditAsk, terms: &QuotaTerms) -> CreditGrant {
     let now_ms = node.now_ms();
     let receipt = node.quota_ledgers.with(group as u64, |ledger| {
         commands::take_credit(ledger, ask, terms, now_ms)
@@ -236,8 +231,9 @@
     let response: Result<QuotaTimeResponse, _> =
         call(node, gatherer, "quota_time", &request, CALL_TIMEOUT_MS).await;
     // A failed call is logged where it is counted; the time that it carried is lost.
-    if let Ok(response) = response {
-        record_peer_clock(node, &gatherer.name, response.clock_ms);
+    match response {
+        Ok(response) => record_peer_clock(node, &gatherer.name, response.clock_ms),
+        Err(_) => forget_peer_clock(node, &gatherer.name),
     }
 }
 
@@ -273,13 +269,15 @@
     }
 }
 
-/// Asks the group's quota owner, then the next in order; if neither responds, this instance is the quota owner of the time
-/// that it has. Time that a call without a response carried is lost.
+/// Asks the group's quota owner, then the next in order; if neither responds, this instance uses the time that it has, and the
+/// requests that it can't pay for with that wait for the next call. Time that a call without a response carried is lost.
 async fn perform_call(node: &Node, group: usize, call: &mut QuotaCall) -> Vec<CreditGrant> {
     let view = node.view.load_full();
     let taken_ms = call.begun_ms;
+    let mut is_owner = true;
     for owner in quota_owners(node, &view, group) {
-        if owner.name == node.settings.instance {
+        is_owner = owner.name == node.settings.instance;
+        if is_owner {
             break;
         }
         call.begun_ms = node.now_ms();
@@ -294,16 +292,20 @@
         match response {
             Ok(response) => return end_call(node, group, owner, call, taken_ms, &response),
             Err(CallError::Unreachable) if clock_ms.is_some() => call.parts = sent,
-            Err(_) => {}
+            Err(_) => forget_peer_clock(node, &owner.name),
         }
     }
     call.begun_ms = node.now_ms();
     let parts = std::mem::take(&mut call.parts);
     keep_time(node, group, &parts, call.begun_ms - taken_ms);
-    call.asks
-        .iter()
-        .map(|ask| grant(node, group, ask))
-        .collect()
+    let grants = call.asks.iter().map(|ask| {
+        let mut grant = grant(node, group, ask);
+        if !is_owner {
+            grant.retry_after_ms = 0;
+        }
+        grant
+    });
+    grants.collect()
 }
 
 /// Keeps what a quota owner's response says. Time that was not sent, because the owner's clock was not known, is gathered
--- a/crates/daemon/src/commands/quota_charge.rs
+++ b/crates/daemon/src/commands/quota_charge.rs
@@ -5,20 +5,27 @@
 
 use {
     crate::{
-        commands::quota_calls,
+        commands::quota_calls::{self, Charging},
         queries::{known_instances, quota_terms},
         Node,
     },
     entry::{AcquireRequest, Refusal},
     quota::{
-        commands::{add_share, record_clock, take_parts, take_share},
-        queries::{account_group, peer_clock_ms},
-        CreditAsk, PeerClock, TimePot, TimeShare, GROUP_COUNT,
+        commands::{forget_clock, record_clock, take_share},
+        queries::peer_clock_ms,
+        PeerClock, TimeShare,
     },
+    std::sync::Arc,
     types::ResultCode,
     wire::generated::{PermitCharge, PermitQuota, QuotaTime},
 };
 
+/// Waits for the quota owners' responses until a request without a pool's owner is refused; two owners that don't respond
+/// take three.
+const CHARGE_WAITS_MAX: u32 = 5;
+/// Time after which a request may come again if no quota owner responded, in milliseconds; by then another one does.
+const NO_ANSWER_RETRY_MS: u64 = 500;
+
 /// What is known of a request's charge.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Charge {
@@ -74,51 +81,46 @@
         self.charged_until_ms = charged_ms.map(|valid_ms| sent_ms + valid_ms);
     }
 
-    /// Charges the request with this instance's own part of the time, unless it is charged already.
+    /// Charges the request at this instance, which has reached no owner of the pool, unless it is charged already. The quota
+    /// owner may still respond; if not, this instance's own part of the time is what there is.
     ///
     /// # Errors
     ///
-    /// This part has no credit for the account.
-    pub(crate) fn charge_own(
+    /// There is no credit for the account.
+    pub(crate) async fn charge_own(
         &mut self,
-        node: &Node,
+        node: &Arc<Node>,
         request: &AcquireRequest,
     ) -> Result<(), Refusal> {
-        let account = request.account.as_deref().unwrap_or_default();
         let is_charged = !self.is_due || self.charged_until_ms.is_some();
         if !self.is_limited || is_charged {
             return Ok(());
         }
+        let account = request.account.as_deref().unwrap_or_default();
         let Some(terms) = quota_terms(node, account) else {
             return Ok(());
         };
-        let now_ms = node.now_ms();
-        let mut pot = TimePot::default();
-        add_share(&mut pot, take_own_share(node), 0, now_ms);
-        let parts = take_parts(&mut pot, now_ms);
-        for group in 0..GROUP_COUNT {
-            quota_calls::keep_time(node, group, &parts, 0);
+        if let Some(time) = take_time(node, &node.settings.instance) {
+            quota_calls::add_time(node, &time);
         }
-        let ask = CreditAsk {
-            account: account.to_owned(),
-            needed: 1,
-            ahead: 0,
-            arrived: 1,
-        };
-        let group = account_group(account);
-        let grant = quota_calls::take_at_hand(node, group, &ask, &terms);
-        if grant.granted == 0 {
-            return Err(quota_refusal(node, grant.retry_after_ms));
+        for _ in 0..CHARGE_WAITS_MAX {
+            match quota_calls::charge_request(node, account, &terms).await {
+                Charging::Charged(until_ms) => {
+                    quota_calls::count(node, "charged without an owner");
+                    self.charged_until_ms = Some(until_ms);
+                    return Ok(());
+                }
+                Charging::Refused(after_ms) => return Err(quota_refusal(node, after_ms)),
+                Charging::Pending => {}
+            }
         }
-        quota_calls::count(node, "charged without an owner");
-        self.charged_until_ms = Some(now_ms);
-        Ok(())
+        Err(quota_refusal(node, NO_ANSWER_RETRY_MS))
     }
 }
 
 /// Returns the refusal of a request that is above the quota, with a time that is spread so that callers that were refused
 /// together don't return together.
-pub(crate) fn quota_refusal(node: &Node, retry_after_ms: u64) -> Refusal {
+fn quota_refusal(node: &Node, retry_after_ms: u64) -> Refusal {
     quota_calls::count(node, "refused without an owner");
     Refusal {
         code: ResultCode::QuotaExceeded,
@@ -163,6 +165,11 @@
         .with(0, |ledger| record_clock(ledger, peer, clock));
 }
 
+/// Forgets the clock of another instance, which did not respond.
+pub(crate) fn forget_peer_clock(node: &Node, peer: &str) {
+    node.quota_time.with(0, |ledger| forget_clock(ledger, peer));
+}
+
 /// Takes this instance's part of the time; nothing before it knows the other instances.
 fn take_own_share(node: &Node) -> TimeShare {
     let Some(known) = known_instances(node) else {
--- a/crates/quota/src/commands.rs
+++ b/crates/quota/src/commands.rs
@@ -12,5 +12,5 @@
     },
     demand::record_demand,
     ledger::{add_time, end_refusals, take_credit, RefusalChange, TakeReceipt},
-    time::{add_parts, add_share, record_clock, take_parts, take_share},
+    time::{add_parts, add_share, forget_clock, record_clock, take_parts, take_share},
 };
--- a/crates/quota/src/commands/cache.rs
+++ b/crates/quota/src/commands/cache.rs
@@ -135,7 +135,8 @@
     })
 }
 
-/// Ends a call: adds the credit that the quota owner granted, in the order of the call's requests; none if it failed.
+/// Ends a call: adds the credit that the quota owner granted, in the order of the call's requests. Requests that it neither
+/// granted nor refused wait for the next call.
 pub fn add_grants(cache: &mut CreditCache, call: &QuotaCall, grants: &[CreditGrant], now_ms: u64) {
     cache.calls_ended = cache.calls_begun;
     let unanswered = std::iter::repeat(&CreditGrant {
@@ -148,7 +149,7 @@
         };
         let expires_ms = call.begun_ms + account.terms.hold_ms;
         add_requests(account, expires_ms, grant.granted);
-        if grant.granted < ask.needed {
+        if grant.granted < ask.needed && grant.retry_after_ms > 0 {
             account.refused_until_ms = now_ms + REFUSED_MS;
             account.retry_after_ms = grant.retry_after_ms;
         }
--- a/crates/quota/src/commands/ledger.rs
+++ b/crates/quota/src/commands/ledger.rs
@@ -78,7 +78,7 @@
         grant: CreditGrant {
             granted,
             retry_after_ms: if is_refused {
-                queries::refill_ms(terms, demand_per_s)
+                queries::refill_ms(terms, demand_per_s).max(1)
             } else {
                 0
             },
--- a/crates/quota/src/commands/time.rs
+++ b/crates/quota/src/commands/time.rs
@@ -10,8 +10,15 @@
 /// Time for which an instance that is no longer listed keeps its part of the time, in milliseconds. An instance that is cut
 /// off keeps passing its part on, while the others stop listing it after some seconds; partitions last 12 s.
 const FLEET_WINDOW_MS: u64 = 15_000;
-/// Time after the start of a process in which it may know only half of the others, in milliseconds.
-const NEW_PROCESS_MS: u64 = 5_000;
+/// Time for which the list of a new process must not have grown before it counts as complete, in milliseconds; until then the
+/// process may know only half of the others. Instances announce themselves within a second or two of a common start.
+const SETTLED_MS: u64 = 2_000;
+/// Time after the start of a process from which its list counts as complete in any case, in milliseconds; a fleet grows at any
+/// time.
+const NEW_PROCESS_MS: u64 = 15_000;
+/// Longest time that an instance passes on at once, in milliseconds. It passes time on several times a second; after a longer
+/// time it stood still, or reached nobody, and the number of instances that it knows may be that of a smaller fleet.
+const SPAN_MAX_MS: u64 = 1_000;
 /// Ages up to which time is passed on in steps of this many milliseconds; what is older is passed on in longer steps.
 const AGE_STEPS_MS: [(u64, u64); 3] = [(500, INTERVAL_MS), (2_000, 250), (u64::MAX, 1_000)];
 
@@ -26,9 +33,12 @@
     );
     let since_ms = uptime_ms.saturating_sub(ledger.passed_ms);
     ledger.passed_ms = ledger.passed_ms.max(uptime_ms);
-    let is_new = uptime_ms < NEW_PROCESS_MS;
+    if known_instances > ledger.largest.0 {
+        ledger.largest = (known_instances, uptime_ms);
+    }
+    let is_new = uptime_ms < NEW_PROCESS_MS && uptime_ms < ledger.largest.1 + SETTLED_MS;
     TimeShare {
-        span_ms: since_ms.min(VALID_MAX_MS),
+        span_ms: if since_ms > SPAN_MAX_MS { 0 } else { since_ms },
         instances: if is_new { 2 * instances } else { instances },
     }
 }
@@ -43,6 +53,12 @@
     }
 }
 
+/// Forgets the clock of an instance that did not respond. The next message to it then carries no time, which would be lost if it
+/// still does not respond.
+pub fn forget_clock(ledger: &mut TimeLedger, peer: &str) {
+    ledger.clocks.remove(peer);
+}
+
 /// Adds time that ended `age_ms` before `now_ms`.
 pub fn add_share(pot: &mut TimePot, share: TimeShare, age_ms: u64, now_ms: u64) {
     if share.instances == 0 {
--- a/crates/quota/src/credit_cache.rs
+++ b/crates/quota/src/credit_cache.rs
@@ -63,7 +63,8 @@
 pub struct CreditGrant {
     /// Requests that may run.
     pub granted: u64,
-    /// Time after which a refused request may come again, in milliseconds; 0 if none was refused.
+    /// Time after which a refused request may come again, in milliseconds; 0 if none was refused. Without it, requests that
+    /// were not granted wait for the next call.
     pub retry_after_ms: u64,
 }
 
--- a/crates/quota/src/terms.rs
+++ b/crates/quota/src/terms.rs
@@ -9,6 +9,9 @@
 const VALID_MIN_MS: u64 = 1_000;
 /// Longest time for which credit is valid, in milliseconds. Time that is older is not passed on.
 pub(crate) const VALID_MAX_MS: u64 = 6_000;
+/// Rate of the credit as a percentage of the account's rate, as long as what a window may have allows both this and a validity
+/// longer than the shortest one. It leaves room for the time of instances that are lost: a third of them may be.
+const RATE_PERCENT: u128 = 125;
 /// Part of the validity that is left to the owner of a pool when it gets credit: one in this many.
 const HOLD_DIVISOR: u64 = 4;
 /// Longest time for which the owner of a pool holds credit, in milliseconds. A lower limit must not be exceeded by credit that
@@ -44,9 +47,9 @@
 impl QuotaTerms {
     /// Computes the terms of an account.
     ///
-    /// What can be spent in a window arises in the time of the window and the validity before it. The validity is the time
-    /// that the tolerated requests of a window exceed it, at the account's rate, and the rate of the credit is such that
-    /// both together never exceed these requests.
+    /// What can be spent in a window arises in the time of the window and the validity before it, and must not exceed the
+    /// tolerated requests. The validity is the time by which these exceed the window at a rate somewhat above the account's.
+    /// A large account has little beyond its quota: it gets the shortest validity and a lower rate.
     pub fn new(rule: &QuotaRule, rate_milli: u64, burst_requests: u64) -> Self {
         let window_ms = u128::from(rule.window_ms);
         let quota_micro =
@@ -54,7 +57,7 @@
         let tolerated_micro = quota_micro * u128::from(1_000 + rule.tolerance_permille) / 1_000
             + u128::from(rule.slack) * 1_000_000;
         let tolerated_ms = tolerated_micro / u128::from(rate_milli.max(1));
-        let beyond_ms = tolerated_ms.saturating_sub(window_ms);
+        let beyond_ms = (tolerated_ms * 100 / RATE_PERCENT).saturating_sub(window_ms);
         let mut valid_ms =
             beyond_ms.clamp(u128::from(VALID_MIN_MS), u128::from(VALID_MAX_MS)) as u64;
         let gathered_micro = |valid_ms: u64| {
--- a/crates/quota/src/time.rs
+++ b/crates/quota/src/time.rs
@@ -24,6 +24,8 @@
     pub(crate) passed_ms: u64,
     /// Number of instances among which time is divided.
     pub(crate) size: FleetSize,
+    /// Largest number of instances known so far, and when that was first known, in milliseconds.
+    pub(crate) largest: (u32, u64),
     /// Clocks of the instances that time is passed on to, by name.
     pub(crate) clocks: HashMap<String, PeerClock>,
 }
