--- a/crates/shed/src/queries/refusal.rs
+++ b/crates/shed/src/queries/refusal.rs
@@ -7,7 +7,7 @@
 pub(crate) const RUN_SERVICE_TIMES: f64 = 1.4;
 
 /// Part of the time left, one in this many, up to which callers honour `Retry-After`.
-const HONOURED_DIVISOR: u64 = 3;
+pub(crate) const HONOURED_DIVISOR: u64 = 3;
 
 /// Recent attempts from which the share that servers reject is known.
 const ATTEMPTS_MIN: f64 = 8.0;
--- a/crates/shed/src/queries/retry.rs
+++ b/crates/shed/src/queries/retry.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admission::RECENT_DECAY_MS,
-    queries::{owed_kinds, rejected_permille},
+    queries::{owed_kinds, refusal::HONOURED_DIVISOR, rejected_permille},
     Admission, Kind,
 };
 
@@ -16,8 +16,6 @@
 /// Time after which a request that got no retry may return, in milliseconds, if servers reject little. A return is a first try
 /// and costs no credit.
 const RETURN_MS: f64 = 150.0;
-/// Part of the time left, one in this many, up to which callers honour `Retry-After`.
-const HONOURED_DIVISOR: u64 = 3;
 
 /// Inputs of [`may_retry`].
 #[derive(Clone, Copy, Debug)]
