--- a/crates/account/src/key_index.rs
+++ b/crates/account/src/key_index.rs
@@ -10,7 +10,7 @@
 /// Length of the part of a digest by which keys are found, in bytes.
 pub(crate) const PREFIX_BYTES: usize = 8;
 
-/// The first bytes of a digest. Finding an entry by it may take a different time than finding none; that tells nothing
+/// The first bytes of a digest. Finding an entry by it may take a different time than finding none; that reveals nothing
 /// about a key, since the digest of a guess says nothing about other keys.
 pub(crate) type DigestPrefix = [u8; PREFIX_BYTES];
 
--- a/crates/claim/src/commands/apply.rs
+++ b/crates/claim/src/commands/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Claim, ClaimEvent, ClaimReplica, KeyDigest},
-    types::EraNews,
+    types::EraObservation,
 };
 
 /// Applies one event of the record at `offset`, which was appended at `at_ms` on the log's clock.
@@ -41,12 +41,12 @@
     sent_ms: u64,
     received_ms: u64,
     log_ms: u64,
-) -> EraNews {
-    let news = replica.store_era.observe(stated, sent_ms, received_ms);
-    if news == EraNews::Changed {
+) -> EraObservation {
+    let observation = replica.store_era.observe(stated, sent_ms, received_ms);
+    if observation == EraObservation::Changed {
         start_over(replica, log_ms);
     }
-    news
+    observation
 }
 
 /// Starts over after the log has lost records, which was noticed at `now_ms` on the log's clock: the stream is read from its
--- a/crates/daemon/src/commands/claims.rs
+++ b/crates/daemon/src/commands/claims.rs
@@ -23,7 +23,7 @@
         time::{Duration, Instant},
     },
     stream::{queries::read, AppendError, ReadError},
-    types::{shard_hash, EraNews, ResultCode},
+    types::{shard_hash, EraObservation, ResultCode},
     wire::{
         convert, encode_digest, from_json,
         generated::{ClaimRecord, ClaimResponse, ClaimResponseRequest, ClaimState, ReadResponse},
@@ -201,8 +201,10 @@
             Ok(part) => {
                 let log_ms = part.response.now_ms;
                 let is_void = node.claim_replicas.with(index as u64, |replica| {
-                    let news = observe_era(replica, part.era, sent_ms, node.now_ms(), log_ms);
-                    news != EraNews::Unchanged || queries::era_changes(replica) != sent_changes
+                    let observation =
+                        observe_era(replica, part.era, sent_ms, node.now_ms(), log_ms);
+                    observation != EraObservation::Unchanged
+                        || queries::era_changes(replica) != sent_changes
                 });
                 if is_void {
                     warn!("the log has lost records; reading claim stream {index} again");
@@ -220,12 +222,16 @@
                 era,
             }) => node.claim_replicas.with(index as u64, |replica| {
                 let log_ms = unix_time_ms();
-                let news = observe_era(replica, era, sent_ms, node.now_ms(), log_ms);
+                let observation = observe_era(replica, era, sent_ms, node.now_ms(), log_ms);
                 let is_same = queries::era_changes(replica) == sent_changes;
-                if news == EraNews::Unchanged && is_same && from > 0 && first_offset <= from {
+                if observation == EraObservation::Unchanged
+                    && is_same
+                    && from > 0
+                    && first_offset <= from
+                {
                     // The offset lies behind the end, which shows a loss also if no era is stated.
                     start_over(replica, log_ms);
-                } else if news == EraNews::Unchanged && is_same {
+                } else if observation == EraObservation::Unchanged && is_same {
                     skip_to(replica, first_offset, first_at_ms);
                 }
             }),
--- a/crates/feed/src/commands/announce.rs
+++ b/crates/feed/src/commands/announce.rs
@@ -17,7 +17,7 @@
         time::Duration,
     },
     tokio::time::sleep,
-    types::EraNews,
+    types::EraObservation,
 };
 
 /// Mean of the first pause after an unconfirmed write, in milliseconds; doubles each time. Jitter varies a pause by up
@@ -48,9 +48,9 @@
         let (sent_ms, sent_changes) = (feed.now_ms(), era_changes(feed));
         match (feed.source.announce)(&feed.own).await {
             Ok(era) => match observe_era(feed, era, sent_ms, "announcement") {
-                EraNews::Changed => return era_changes(feed),
-                EraNews::Unchanged => return sent_changes,
-                EraNews::Outdated => {}
+                EraObservation::Changed => return era_changes(feed),
+                EraObservation::Unchanged => return sent_changes,
+                EraObservation::Outdated => {}
             },
             Err(error) => warn!("failed to announce this instance: {error}"),
         }
--- a/crates/feed/src/commands/directory.rs
+++ b/crates/feed/src/commands/directory.rs
@@ -22,7 +22,7 @@
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     stream::{Cursor, ListedSource},
     tokio::time::sleep,
-    types::EraNews,
+    types::EraObservation,
 };
 
 /// Delay after the start before the directory is read, in milliseconds, so that other starting instances can announce
@@ -104,7 +104,7 @@
     let sent_ms = feed.now_ms();
     match (feed.source.instances)(Cursor::default()).await {
         Ok(update) => {
-            if observe_era(feed, update.era, sent_ms, "instances") != EraNews::Outdated {
+            if observe_era(feed, update.era, sent_ms, "instances") != EraObservation::Outdated {
                 apply::instances(feed, &update);
             }
         }
@@ -158,7 +158,7 @@
     let update = update
         .inspect_err(|error| warn!("failed to read the directory: {error}"))
         .ok()?;
-    if observe_era(feed, update.era, sent_ms, "directory") == EraNews::Outdated {
+    if observe_era(feed, update.era, sent_ms, "directory") == EraObservation::Outdated {
         return None;
     }
     for error in &update.record_errors {
--- a/crates/feed/src/commands/era.rs
+++ b/crates/feed/src/commands/era.rs
@@ -14,7 +14,7 @@
     serde_json::json,
     std::time::Duration,
     tokio::time::sleep,
-    types::EraNews,
+    types::EraObservation,
 };
 
 /// Time over which the instances spread their announcements after a loss, in milliseconds for each instance of the fleet:
@@ -25,19 +25,24 @@
 
 /// Records the era that a response to a request sent at `sent_ms` states; `source` is who sent the response. If the store has
 /// lost records, discards the known offsets, and has the instances' own records written again.
-pub(crate) fn observe_era(feed: &Feed, stated: Option<u64>, sent_ms: u64, source: &str) -> EraNews {
+pub(crate) fn observe_era(
+    feed: &Feed,
+    stated: Option<u64>,
+    sent_ms: u64,
+    source: &str,
+) -> EraObservation {
     let now_ms = feed.now_ms();
-    let news = feed.state.with(0, |state| {
-        let news = state.store_era.observe(stated, sent_ms, now_ms);
-        if news == EraNews::Changed {
+    let observation = feed.state.with(0, |state| {
+        let observation = state.store_era.observe(stated, sent_ms, now_ms);
+        if observation == EraObservation::Changed {
             start_over(state, now_ms);
         }
-        news
+        observation
     });
-    if news == EraNews::Changed {
+    if observation == EraObservation::Changed {
         report_loss(feed, stated, source);
     }
-    news
+    observation
 }
 
 /// Records a loss that the end offset of a full list shows although its response states no era.
@@ -100,11 +105,11 @@
 /// the offset that it was read from, `sent_changes` being the number of changes when its request was sent.
 pub(crate) fn is_void(
     feed: &Feed,
-    news: EraNews,
+    observation: EraObservation,
     is_from_offset: bool,
     states_era: bool,
     sent_changes: u64,
 ) -> bool {
     let has_changed = era_changes(feed) != sent_changes;
-    news == EraNews::Outdated || (has_changed && (is_from_offset || !states_era))
+    observation == EraObservation::Outdated || (has_changed && (is_from_offset || !states_era))
 }
--- a/crates/feed/src/commands/read.rs
+++ b/crates/feed/src/commands/read.rs
@@ -26,7 +26,7 @@
         sync::watch,
         time::{sleep, timeout},
     },
-    types::{exponential_backoff_ms, EraNews},
+    types::{exponential_backoff_ms, EraObservation},
 };
 
 /// How long a read of the configuration or the servers waits for a change, in milliseconds. It bounds the time until an
@@ -326,11 +326,11 @@
     };
     let result = read_and_report(feed, list, purpose, read(cursor)).await;
     log_read(list, purpose, cursor, &result, feed.now_ms() - sent_ms);
-    let (stated, news) = match &result {
+    let (stated, observation) = match &result {
         Ok(ListUpdate { era, .. }) | Err(ReadError::Trimmed { era, .. }) => {
             (*era, observe_era(feed, *era, sent_ms, list.name))
         }
-        Err(_) => (None, EraNews::Unchanged),
+        Err(_) => (None, EraObservation::Unchanged),
     };
     if let Ok(update) = &result {
         if update.is_full && update.era.is_none() {
@@ -339,7 +339,15 @@
     }
     let is_from_offset = cursor.from.is_some();
     match result {
-        Ok(_) if is_void(feed, news, is_from_offset, stated.is_some(), sent_changes) => {
+        Ok(_)
+            if is_void(
+                feed,
+                observation,
+                is_from_offset,
+                stated.is_some(),
+                sent_changes,
+            ) =>
+        {
             progress.must_be_full = true;
             0
         }
--- a/crates/front/tests/callers.rs
+++ b/crates/front/tests/callers.rs
@@ -262,7 +262,7 @@
     stream
 }
 
-/// The number of connections was not limited. One too many is told that its request was not run, and the others go on.
+/// The number of connections was not limited. One too many is refused as not run, and the others go on.
 #[tokio::test]
 async fn serve_callers_no_place() {
     let (address, handled) = start_with(two_connections()).await;
--- a/crates/member/src/commands/roster.rs
+++ b/crates/member/src/commands/roster.rs
@@ -290,8 +290,8 @@
     })
 }
 
-/// Keeps the servers that were to be removed at the end of the grace period after a loss; called when another instance's list, which then
-/// tells of their removal, replaces the platform's.
+/// Keeps the servers that were to be removed at the end of the grace period after a loss; called when another instance's
+/// list, which then states their removal, replaces the platform's.
 pub fn cancel_expiries(roster: &mut Roster) {
     if roster.grace_until_ms != roster.loss_grace_until_ms {
         return;
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -116,7 +116,7 @@
     pub(crate) room_bytes: u64,
 }
 
-/// What all connections hold; `Handle` is what an evicted connection is told with.
+/// What all connections hold; `Handle` is what notifies an evicted connection.
 #[derive(Clone, Debug)]
 pub struct Ledger<Handle> {
     pub(crate) limits: Limits,
--- a/crates/owner/src/commands/admission.rs
+++ b/crates/owner/src/commands/admission.rs
@@ -220,7 +220,7 @@
     state.failure_rate.record(true, now_ms);
 }
 
-/// Records what the outcome of an attempt tells about the kind of its request. To be called before its permit is released.
+/// Records the outcome of an attempt for the kind of its request. To be called before its permit is released.
 pub(crate) fn record_outcome_of_kind(
     state: &mut PoolState,
     id: PermitId,
@@ -279,7 +279,7 @@
     }
 }
 
-/// Removes a waiter from the queue. It is told at its open poll, which is woken, or else at its next one.
+/// Removes a waiter from the queue. Its open poll is woken and refused, or else its next one is refused.
 fn evict(state: &mut PoolState, ticket: u64, arrival: Arrival, now_ms: u64) {
     commands::remove_waiter(&mut state.pool, ticket);
     state.evicted.insert(ticket, now_ms);
--- a/crates/shed/src/admission.rs
+++ b/crates/shed/src/admission.rs
@@ -6,9 +6,9 @@
     types::{AccountKey, Priority},
 };
 
-/// Most kinds of requests that are told apart at one pool; a deployment has about ten routes for a service.
+/// Most kinds of requests that one pool distinguishes; a deployment has about ten routes for a service.
 pub const KINDS_MAX: usize = 16;
-/// Most accounts that are told apart at one pool. The ones with the most recent arrivals are kept, and an account far above
+/// Most accounts that one pool distinguishes. The ones with the most recent arrivals are kept, and an account far above
 /// its share is among these.
 pub const ACCOUNTS_MAX: usize = 128;
 
@@ -127,12 +127,12 @@
         Self::default()
     }
 
-    /// Returns the number of kinds that are told apart.
+    /// Returns the number of kinds that are distinguished.
     pub fn kind_count(&self) -> usize {
         self.kinds.len()
     }
 
-    /// Returns the number of accounts that are told apart.
+    /// Returns the number of accounts that are distinguished.
     pub fn account_count(&self) -> usize {
         self.accounts.len()
     }
--- a/crates/shed/tests/rules.rs
+++ b/crates/shed/tests/rules.rs
@@ -199,7 +199,7 @@
     assert!(!fits(&backlog, 100_000.0, 0, 640));
 }
 
-/// A request was told to return after half of the time in which the queue drained, and was refused again.
+/// A refused request returned after half of the time in which the queue drained, and was refused again.
 #[test]
 fn retry_after_ms_not_before_queue_has_drained() {
     let mut admission = Admission::new();
--- a/crates/stream/src/queries/follow.rs
+++ b/crates/stream/src/queries/follow.rs
@@ -5,7 +5,7 @@
     log::warn,
     std::time::Duration,
     tokio::time::{sleep, Instant},
-    types::{EraNews, StoreEra},
+    types::{EraObservation, StoreEra},
     wire::generated::ReadResponse,
 };
 
@@ -45,7 +45,7 @@
             Err(_) => (None, false),
         };
         // An offset behind the end shows a loss also if the platform doesn't state its era.
-        if store_era.observe(era, sent_ms, now_ms()) == EraNews::Changed || is_ahead {
+        if store_era.observe(era, sent_ms, now_ms()) == EraObservation::Changed || is_ahead {
             warn!("the platform has lost records; reading stream {stream} again");
             (handler.on_rolled_back)();
             continue;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,5 +17,5 @@
     priority::Priority,
     result_code::{ExecutionStatus, ResultCode},
     shards::{shard_hash, Shards},
-    store_era::{EraNews, StoreEra},
+    store_era::{EraObservation, StoreEra},
 };
--- a/crates/types/src/shards.rs
+++ b/crates/types/src/shards.rs
@@ -27,7 +27,7 @@
 }
 
 impl<State> Shards<State> {
-    /// Creates one shard with `state`, for state whose parts can't be told apart by a hash.
+    /// Creates one shard with `state`, for state whose parts a hash can't distinguish.
     pub fn single(state: State) -> Self {
         Self {
             shards: Box::new([Mutex::new(state)]),
--- a/crates/types/src/store_era.rs
+++ b/crates/types/src/store_era.rs
@@ -5,7 +5,7 @@
 
 /// What a response says of the store's era.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EraNews {
+pub enum EraObservation {
     /// The era is the known one, the first one that was stated, or not stated.
     Unchanged,
     /// The store has lost records since the response before.
@@ -29,26 +29,26 @@
     /// Responses on several connections may arrive in another order than they were made. One with a lower era is outdated
     /// if its request was sent before the higher era was known. A later request can't get such a response, so the
     /// statement is then not believed.
-    pub fn observe(&mut self, stated: Option<u64>, sent_ms: u64, now_ms: u64) -> EraNews {
+    pub fn observe(&mut self, stated: Option<u64>, sent_ms: u64, now_ms: u64) -> EraObservation {
         let Some(stated) = stated else {
-            return EraNews::Unchanged;
+            return EraObservation::Unchanged;
         };
         match self.known {
-            Some(known) if stated == known => EraNews::Unchanged,
+            Some(known) if stated == known => EraObservation::Unchanged,
             Some(known) if stated < known => {
                 if sent_ms <= self.known_ms {
-                    EraNews::Outdated
+                    EraObservation::Outdated
                 } else {
-                    EraNews::Unchanged
+                    EraObservation::Unchanged
                 }
             }
             known => {
                 (self.known, self.known_ms) = (Some(stated), now_ms);
                 if known.is_none() {
-                    return EraNews::Unchanged;
+                    return EraObservation::Unchanged;
                 }
                 self.changes += 1;
-                EraNews::Changed
+                EraObservation::Changed
             }
         }
     }
--- a/crates/types/tests/types.rs
+++ b/crates/types/tests/types.rs
@@ -1,6 +1,6 @@
 //! Tests of the core types.
 
-use types::{EntityMap, EraNews, Interner, ResultCode, ServerIndex, Shards, StoreEra};
+use types::{EntityMap, EraObservation, Interner, ResultCode, ServerIndex, Shards, StoreEra};
 
 #[test]
 fn intern_same_name_twice() {
@@ -47,7 +47,7 @@
 #[test]
 fn observe_first_era() {
     let mut era = StoreEra::default();
-    assert_eq!(era.observe(Some(7), 0, 1), EraNews::Unchanged);
+    assert_eq!(era.observe(Some(7), 0, 1), EraObservation::Unchanged);
     assert_eq!((era.known(), era.changes()), (Some(7), 0));
 }
 
@@ -56,7 +56,7 @@
 fn observe_era_not_stated() {
     let mut era = StoreEra::default();
     for stated in [None, Some(7), None, Some(7), None] {
-        assert_eq!(era.observe(stated, 0, 1), EraNews::Unchanged);
+        assert_eq!(era.observe(stated, 0, 1), EraObservation::Unchanged);
     }
     assert_eq!((era.known(), era.changes()), (Some(7), 0));
 }
@@ -64,14 +64,14 @@
 #[test]
 fn observe_era_higher() {
     let mut era = StoreEra::default();
-    for (stated, news) in [
-        (1, EraNews::Unchanged),
-        (2, EraNews::Changed),
-        (2, EraNews::Unchanged),
+    for (stated, observation) in [
+        (1, EraObservation::Unchanged),
+        (2, EraObservation::Changed),
+        (2, EraObservation::Unchanged),
         // Losses while nothing was read count as one.
-        (5, EraNews::Changed),
+        (5, EraObservation::Changed),
     ] {
-        assert_eq!(era.observe(Some(stated), 10, 20), news, "{stated}");
+        assert_eq!(era.observe(Some(stated), 10, 20), observation, "{stated}");
     }
     assert_eq!((era.known(), era.changes()), (Some(5), 2));
 }
@@ -82,7 +82,7 @@
     let mut era = StoreEra::default();
     era.observe(Some(1), 0, 5);
     era.observe(Some(2), 90, 100);
-    assert_eq!(era.observe(Some(1), 80, 120), EraNews::Outdated);
+    assert_eq!(era.observe(Some(1), 80, 120), EraObservation::Outdated);
     assert_eq!((era.known(), era.changes()), (Some(2), 1));
 }
 
@@ -91,6 +91,6 @@
 fn observe_era_lower_sent_after() {
     let mut era = StoreEra::default();
     era.observe(Some(9), 90, 100);
-    assert_eq!(era.observe(Some(2), 110, 120), EraNews::Unchanged);
+    assert_eq!(era.observe(Some(2), 110, 120), EraObservation::Unchanged);
     assert_eq!((era.known(), era.changes()), (Some(9), 0));
 }
