Wait for credit after a restart, and count a complete list as complete

A request of an account within its quota now waits for up to 1.2 s and a quarter of its time, in place of 0.4 s, and a list with as many instances as the directory of sources states is complete. The bound is not touched: credit still arises from time alone. Not yet measured.

--- a/crates/daemon/src/commands/quota_charge.rs
+++ b/crates/daemon/src/commands/quota_charge.rs
@@ -13,18 +13,21 @@
     quota::{
         commands::{forget_clock, record_clock, take_share},
         queries::peer_clock_ms,
-        PeerClock, TimeShare,
+        KnownFleet, PeerClock, TimeShare,
     },
     std::sync::Arc,
     types::ResultCode,
     wire::generated::{PermitCharge, PermitQuota, QuotaTime},
 };
 
-/// Longest time for which a request waits for credit in all, in milliseconds: half of the shortest target latency of routes that
-/// need keys, and about the time until credit arises again after a restart of all instances.
-const CREDIT_WAIT_MAX_MS: u64 = 400;
-/// Shortest time after which a request asks for credit again, in milliseconds: time is passed on every 100 ms.
-const CREDIT_WAIT_MIN_MS: u64 = 100;
+/// Longest time for which a request waits for credit in all, in milliseconds. After a restart of all instances, an account of one
+/// request a second gets its first credit after about that time.
+const CREDIT_WAIT_MAX_MS: u64 = 1_200;
+/// Longest refill time with which a request waits, in milliseconds; it is longer if the account's demand is more than twice its
+/// rate, so that waiting wouldn't help.
+const CREDIT_REFILL_MAX_MS: u64 = 1_000;
+/// Shortest time after which a request asks for credit again, in milliseconds. Each time counts as demand.
+const CREDIT_WAIT_MIN_MS: u64 = 250;
 /// Part of the time left for which a request waits for credit at most (one in this many).
 const CREDIT_WAIT_DIVISOR: u64 = 4;
 /// Waits for the quota owners' responses until a request without a pool's owner is refused; two owners that don't respond
@@ -61,10 +64,11 @@
     /// Returns how long a request that found no credit waits before it asks again, in milliseconds; none if it is refused. It
     /// waits if its account isn't above the quota, so that credit is only late: after a restart, or a change of owners.
     pub(crate) fn wait_ms(&mut self, refill_ms: u64, remaining_ms: u64) -> Option<u64> {
-        let wait_ms = spread_ms(refill_ms.max(CREDIT_WAIT_MIN_MS));
-        let is_short = refill_ms <= CREDIT_WAIT_MAX_MS
-            && self.waited_ms + wait_ms <= CREDIT_WAIT_MAX_MS
-            && wait_ms <= remaining_ms / CREDIT_WAIT_DIVISOR;
+        let total_max_ms =
+            CREDIT_WAIT_MAX_MS.min((remaining_ms + self.waited_ms) / CREDIT_WAIT_DIVISOR);
+        let left_ms = total_max_ms.saturating_sub(self.waited_ms);
+        let wait_ms = spread_ms(refill_ms.max(CREDIT_WAIT_MIN_MS)).min(left_ms);
+        let is_short = refill_ms <= CREDIT_REFILL_MAX_MS && left_ms >= CREDIT_WAIT_MIN_MS / 2;
         is_short.then(|| {
             self.waited_ms += wait_ms;
             wait_ms
@@ -199,6 +203,14 @@
         return TimeShare::default();
     };
     let now_ms = node.now_ms();
+    let is_complete = node
+        .feed
+        .get()
+        .is_some_and(|feed| feed::queries::is_instance_list_complete(feed));
+    let fleet = KnownFleet {
+        instances: known,
+        is_complete,
+    };
     node.quota_time
-        .with(0, |ledger| take_share(ledger, known, now_ms))
+        .with(0, |ledger| take_share(ledger, fleet, now_ms))
 }
--- a/crates/feed/src/queries.rs
+++ b/crates/feed/src/queries.rs
@@ -4,7 +4,8 @@
 mod transfer;
 
 pub use self::age::{
-    config_age_ms, has_instance_list, has_server_list, is_config_current, source_age_ms,
+    config_age_ms, has_instance_list, has_server_list, is_config_current,
+    is_instance_list_complete, source_age_ms,
 };
 
 pub(crate) use self::{
--- a/crates/feed/src/queries/age.rs
+++ b/crates/feed/src/queries/age.rs
@@ -161,6 +161,15 @@
     state.has_instance_list || listed.is_some_and(|directory| directory.fleet_instances > 0)
 }
 
+/// Returns whether the list of instances has as many as the directory says that the fleet has.
+pub fn is_instance_list_complete(feed: &Feed) -> bool {
+    feed.state.with(0, |state| {
+        let listed = state.directory.as_ref();
+        let fleet_instances = listed.map_or(0, |directory| directory.fleet_instances);
+        fleet_instances > 0 && member::queries::instance_count(&state.view) >= fleet_instances
+    })
+}
+
 /// Returns the number of instances in the fleet, as far as it is known by the list or by the directory.
 pub(crate) fn known_instances(state: &FeedState) -> usize {
     let listed = state.directory.as_ref();
--- a/crates/quota/src/commands/time.rs
+++ b/crates/quota/src/commands/time.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        terms::VALID_MAX_MS, time::INTERVAL_MS, PeerClock, TimeLedger, TimePart, TimePot, TimeShare,
+        terms::VALID_MAX_MS, time::INTERVAL_MS, KnownFleet, PeerClock, TimeLedger, TimePart,
+        TimePot, TimeShare,
     },
     permit::commands::record_fleet_size,
 };
@@ -22,21 +23,23 @@
 /// Ages up to which time is passed on in steps of this many milliseconds; what is older is passed on in longer steps.
 const AGE_STEPS_MS: [(u64, u64); 3] = [(500, INTERVAL_MS), (2_000, 250), (u64::MAX, 1_000)];
 
-/// Returns the time since this instance last passed its part on, and counts it as passed on. `known_instances` is the
-/// number of instances that it knows at `uptime_ms` after the start of its process.
-pub fn take_share(ledger: &mut TimeLedger, known_instances: u32, uptime_ms: u64) -> TimeShare {
+/// Returns the time since this instance last passed its part on, and counts it as passed on. `fleet` is what it knows of the
+/// other instances at `uptime_ms` after the start of its process.
+pub fn take_share(ledger: &mut TimeLedger, fleet: KnownFleet, uptime_ms: u64) -> TimeShare {
     let instances = record_fleet_size(
         &mut ledger.size,
-        known_instances,
+        fleet.instances,
         FLEET_WINDOW_MS,
         uptime_ms,
     );
     let since_ms = uptime_ms.saturating_sub(ledger.passed_ms);
     ledger.passed_ms = ledger.passed_ms.max(uptime_ms);
-    if known_instances > ledger.largest.0 {
-        ledger.largest = (known_instances, uptime_ms);
+    if fleet.instances > ledger.largest.0 {
+        ledger.largest = (fleet.instances, uptime_ms);
     }
-    let is_new = uptime_ms < NEW_PROCESS_MS && uptime_ms < ledger.largest.1 + SETTLED_MS;
+    let is_new = !fleet.is_complete
+        && uptime_ms < NEW_PROCESS_MS
+        && uptime_ms < ledger.largest.1 + SETTLED_MS;
     TimeShare {
         span_ms: if since_ms > SPAN_MAX_MS { 0 } else { since_ms },
         instances: if is_new { 2 * instances } else { instances },
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -22,7 +22,7 @@
     demand::DemandRate,
     quota_ledger::QuotaLedger,
     terms::{QuotaRule, QuotaTerms},
-    time::{PeerClock, TimeLedger, TimePart, TimePot, TimeShare},
+    time::{KnownFleet, PeerClock, TimeLedger, TimePart, TimePot, TimeShare},
 };
 
 /// Number of groups into which accounts are divided; each group has a quota owner.
--- a/crates/quota/src/time.rs
+++ b/crates/quota/src/time.rs
@@ -17,6 +17,26 @@
     pub instances: u32,
 }
 
+/// What an instance knows of the fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownFleet {
+    /// Number of instances in its list.
+    pub instances: u32,
+    /// Whether these are as many as the platform says that there are, so that a new process need not wait until its list
+    /// has stopped growing.
+    pub is_complete: bool,
+}
+
+impl KnownFleet {
+    /// Creates the knowledge of a list that may be incomplete.
+    pub fn new(instances: u32) -> Self {
+        Self {
+            instances,
+            is_complete: false,
+        }
+    }
+}
+
 /// The time that an instance has passed on.
 #[derive(Clone, Debug, Default)]
 pub struct TimeLedger {
--- a/crates/quota/tests/credit.rs
+++ b/crates/quota/tests/credit.rs
@@ -2,8 +2,8 @@
 
 use quota::{
     commands::{self, ChargeOutcome},
-    queries, CreditAsk, CreditCache, CreditGrant, QuotaLedger, QuotaRule, QuotaTerms, TimeLedger,
-    TimePart, TimePot, TimeShare,
+    queries, CreditAsk, CreditCache, CreditGrant, KnownFleet, QuotaLedger, QuotaRule, QuotaTerms,
+    TimeLedger, TimePart, TimePot, TimeShare,
 };
 
 const RULE: QuotaRule = QuotaRule {
@@ -94,7 +94,8 @@
 fn share_passed_once() {
     let mut ledger = TimeLedger::default();
     let shares = [700, 700, 1_000, 30_000];
-    let spans = shares.map(|at_ms| commands::take_share(&mut ledger, 4, at_ms).span_ms);
+    let spans =
+        shares.map(|at_ms| commands::take_share(&mut ledger, KnownFleet::new(4), at_ms).span_ms);
     assert_eq!(spans, [700, 0, 300, 0]);
 }
 
@@ -104,10 +105,11 @@
 fn share_third_not_listed() {
     let mut ledger = TimeLedger::default();
     for at_ms in (0..20_000).step_by(100) {
-        commands::take_share(&mut ledger, 200, at_ms);
+        commands::take_share(&mut ledger, KnownFleet::new(200), at_ms);
     }
     let divisors = [20_000, 34_000, 36_000];
-    let divisors = divisors.map(|at_ms| commands::take_share(&mut ledger, 134, at_ms).instances);
+    let divisors = divisors
+        .map(|at_ms| commands::take_share(&mut ledger, KnownFleet::new(134), at_ms).instances);
     assert_eq!(divisors, [200, 200, 134]);
 }
 
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -7,8 +7,8 @@
     faults::{FaultTerms, RandomFault},
     quota::{
         commands::{self, ChargeOutcome},
-        queries, CreditCache, CreditGrant, PeerClock, QuotaCall, QuotaLedger, QuotaRule,
-        QuotaTerms, TimeLedger, TimePart, TimeShare, GROUP_COUNT,
+        queries, CreditCache, CreditGrant, KnownFleet, PeerClock, QuotaCall, QuotaLedger,
+        QuotaRule, QuotaTerms, TimeLedger, TimePart, TimeShare, GROUP_COUNT,
     },
     std::collections::{BTreeMap, HashMap},
 };
@@ -553,7 +553,7 @@
         } else {
             queries::peer_clock_ms(&process.time, &name(to), now_ms)?
         };
-        let share = commands::take_share(&mut process.time, process.known, now_ms);
+        let share = commands::take_share(&mut process.time, KnownFleet::new(process.known), now_ms);
         Some((clock_ms, share))
     }
 
