--- a/review/standin-2/mod.rs
+++ b/review/standin-2/mod.rs
@@ -7,7 +7,7 @@
     fs::{self, File},
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    os::fd::AsRawFd,
+    os::fd::{AsRawFd, FromRawFd},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -228,6 +228,35 @@
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, bytes: u32) -> i32;
 }
 
+extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn bind(socket: i32, address: *const [u8; 16], bytes: u32) -> i32;
+    fn connect(socket: i32, address: *const [u8; 16], bytes: u32) -> i32;
+}
+
+/// Connects from 127.0.0.`source` to a loopback address, so that not all clients have the same address.
+pub fn connect_from(source: u8, to: SocketAddr) -> io::Result<TcpStream> {
+    let raw = |last: u8, port: u16| -> [u8; 16] {
+        let mut address = [0; 16];
+        address[0] = 2; // AF_INET
+        address[2..4].copy_from_slice(&port.to_be_bytes());
+        address[4..8].copy_from_slice(&[127, 0, 0, last]);
+        address
+    };
+    // SAFETY: the descriptor is a new socket that the stream then owns; the addresses are `sockaddr_in`, of 16 bytes.
+    unsafe {
+        let descriptor = socket(2, 1, 0);
+        if descriptor < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        if bind(descriptor, &raw(source, 0), 16) != 0 || connect(descriptor, &raw(1, to.port()), 16) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
 /// Gives the connections of a listener a small receive window, as the links of the pages have.
 fn limit_window(listener: &TcpListener, bytes: i32) {
     const SOL_SOCKET: i32 = 1;
