review: stand-ins take ports outside the range of connections

A script's instance didn't become ready once, most likely because its port had been given to a connection between the choice and the start; the script then left processes behind, which it ends now.

--- a/review/standin-2/mod.rs
+++ b/review/standin-2/mod.rs
@@ -640,9 +640,17 @@
     pub child: Child,
 }
 
+/// Returns a loopback address that is free now, outside the range from which the kernel gives ports to connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 37;
+    loop {
+        let number = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + (number % 18_000) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 /// Where the settings and the logs of the instances are.
@@ -681,15 +689,15 @@
             child,
         });
     }
-    for instance in &instances {
-        let until = Instant::now() + Duration::from_secs(20);
-        while !instance.is_ready() {
-            if Instant::now() > until {
-                println!("{} did not become ready", instance.name);
-                std::process::exit(2);
-            }
-            sleep_ms(50);
+    let until = Instant::now() + Duration::from_secs(20);
+    while let Some(late) = instances.iter().find(|instance| !instance.is_ready()) {
+        if Instant::now() > until {
+            println!("{} did not become ready", late.name);
+            // Ends the processes.
+            drop(instances);
+            std::process::exit(2);
         }
+        sleep_ms(50);
     }
     instances
 }
