--- a/review/standin-2/mod.rs
+++ b/review/standin-2/mod.rs
@@ -267,11 +267,19 @@
 
 /// Accepts connections on a free loopback port, each in a thread of its own.
 pub fn serve<Handle>(handle: Handle) -> SocketAddr
+where
+    Handle: Fn(Wire) + Send + Sync + 'static,
+{
+    serve_with_window(32 * 1024, handle)
+}
+
+/// Likewise, with a receive buffer of that size on each connection.
+pub fn serve_with_window<Handle>(window_bytes: i32, handle: Handle) -> SocketAddr
 where
     Handle: Fn(Wire) + Send + Sync + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    limit_window(&listener, 32 * 1024);
+    limit_window(&listener, window_bytes);
     let address = listener.local_addr().expect("an address");
     let handle = Arc::new(handle);
     thread::spawn(move || {
